--- /dev/null
+++ b/src/bin/foxtailknot.rs
@@ -0,0 +1,7 @@
+//! The command-line tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    foxtailknot::cmd::tool::main()
+}
--- /dev/null
+++ b/src/cmd/error.rs
@@ -0,0 +1,61 @@
+//! Errors of commands.
+
+use crate::{
+    control::{apply::ApplyError, daemon::DaemonError, peer_clients::PeerError},
+    platform::PlatformError,
+    prelude::*,
+    settings::SettingsError,
+};
+
+/// A failed command: a code and a line for a person.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("FK{} {text}", code.number())]
+pub struct CmdError {
+    /// The numbered code.
+    pub code: Code,
+    /// What went wrong.
+    pub text: String,
+}
+
+/// Result of a command.
+pub type Result<T> = std::result::Result<T, CmdError>;
+
+impl CmdError {
+    /// Creates an error.
+    pub fn new(code: Code, text: impl ToString) -> CmdError {
+        CmdError {
+            code,
+            text: text.to_string(),
+        }
+    }
+}
+
+impl From<SettingsError> for CmdError {
+    fn from(error: SettingsError) -> CmdError {
+        CmdError::new(error.code(), error)
+    }
+}
+
+impl From<DaemonError> for CmdError {
+    fn from(error: DaemonError) -> CmdError {
+        CmdError::new(error.code(), error)
+    }
+}
+
+impl From<PlatformError> for CmdError {
+    fn from(error: PlatformError) -> CmdError {
+        CmdError::new(error.code(), error)
+    }
+}
+
+impl From<ApplyError> for CmdError {
+    fn from(error: ApplyError) -> CmdError {
+        CmdError::new(error.code(), error)
+    }
+}
+
+impl From<PeerError> for CmdError {
+    fn from(error: PeerError) -> CmdError {
+        CmdError::new(Code::PeerUnavailable, error)
+    }
+}
--- /dev/null
+++ b/src/control/daemon.rs
@@ -0,0 +1,239 @@
+//! Starts the tasks of a daemon and stops them gracefully.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
+
+use compio::{net::TcpListener, runtime::spawn};
+use futures::future::{Either, select};
+use tokio::sync::watch;
+
+use super::{
+    admin::{self, AdminState},
+    node::{Node, NodeMessage, NodeParts},
+    peer_server::{self, PeerServer},
+};
+use crate::{
+    clock,
+    metrics::Metrics,
+    platform::PlatformClient,
+    prelude::*,
+    proxy::{
+        caller::Entry,
+        cancel::CancelRegistry,
+        context::{Context, Locate},
+        listener,
+        route_table::RouteTable,
+        trunk::TrunkHandle,
+    },
+    settings::VmSettings,
+};
+
+/// Interval of looks at whether all callers have left.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Time that slots keep serving after the last caller left, for requests that
+/// other VMs are about to send.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Error that keeps a daemon from running.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+pub enum DaemonError {
+    /// An address can't be listened on.
+    #[display("{key} {address}: {source}")]
+    Listen {
+        /// Key of the setting.
+        key: &'static str,
+        /// Address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A part could not be set up.
+    #[display("{part}: {text}")]
+    Setup {
+        /// The part.
+        part: &'static str,
+        /// Why.
+        text: String,
+    },
+}
+
+/// Result of this module.
+pub type Result<T> = std::result::Result<T, DaemonError>;
+
+impl DaemonError {
+    /// The numbered code.
+    pub fn code(&self) -> Code {
+        Code::ListenFailed
+    }
+}
+
+/// Runs a daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error when a listener or a part can't be set up.
+pub fn run(settings: VmSettings) -> Result<()> {
+    let setup = |part| {
+        move |error: std::io::Error| DaemonError::Setup {
+            part,
+            text: error.to_string(),
+        }
+    };
+    // Calls between VMs keep their deadlines with these timers.
+    let timers = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_time()
+        .build()
+        .map_err(setup("timers"))?;
+    let _entered = timers.enter();
+    let runtime = compio::runtime::Runtime::new().map_err(setup("runtime"))?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: VmSettings) -> Result<()> {
+    let settings = Arc::new(settings);
+    let callers = listen("listen.callers", settings.callers).await?;
+    let internal = listen("listen.internal", settings.internal).await?;
+    let peer = listen("listen.peer", settings.peer).await?;
+    let admin = listen("listen.admin", settings.admin).await?;
+    let metrics = Metrics::new().map_err(|error| DaemonError::Setup {
+        part: "metrics",
+        text: error.to_string(),
+    })?;
+    let platform = PlatformClient::new(settings.platform).map_err(|error| DaemonError::Setup {
+        part: "platform",
+        text: error.to_string(),
+    })?;
+    let (routes, routes_seen) = watch::channel(Rc::new(RouteTable::new()));
+    let (ready, ready_seen) = watch::channel(false);
+    let (draining, draining_seen) = watch::channel(false);
+    let (mailbox, messages) = flume::unbounded();
+    let count = Rc::new(Cell::new(0));
+    let (locate, located) = flume::unbounded();
+    let (primary_failed, failures) = flume::unbounded();
+    spawn(pass_on(located, mailbox.clone(), NodeMessage::Locate)).detach();
+    spawn(pass_on(
+        failures,
+        mailbox.clone(),
+        NodeMessage::PrimaryFailed,
+    ))
+    .detach();
+
+    let parts = NodeParts {
+        settings: settings.clone(),
+        metrics: metrics.clone(),
+        platform,
+        routes,
+        ready,
+        draining,
+        callers: count.clone(),
+        primary_failed,
+    };
+    spawn(Node::new(parts, mailbox.clone()).run(messages)).detach();
+    let server = PeerServer {
+        node: mailbox.clone(),
+    };
+    spawn(peer_server::accept(peer, server)).detach();
+    let state = AdminState {
+        metrics: metrics.clone(),
+        ready: ready_seen,
+        draining: draining_seen.clone(),
+    };
+    spawn(admin::serve(admin, state)).detach();
+    let context = make_context(
+        &settings,
+        metrics,
+        routes_seen,
+        locate,
+        draining_seen.clone(),
+    );
+    spawn(listener::accept(
+        context.clone(),
+        callers,
+        Entry::Public,
+        count.clone(),
+    ))
+    .detach();
+    spawn(listener::accept(
+        context,
+        internal,
+        Entry::Internal,
+        count.clone(),
+    ))
+    .detach();
+    log::info!(
+        target: "daemon", callers = settings.callers.to_string().as_str(),
+        zone = &*settings.zone; "started"
+    );
+    wait_for_stop(&mailbox, draining_seen).await;
+    drain(&settings, &count).await;
+    Ok(())
+}
+
+async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| DaemonError::Listen {
+            key,
+            address,
+            source,
+        })
+}
+
+fn make_context(
+    settings: &Arc<VmSettings>,
+    metrics: Metrics,
+    routes: watch::Receiver<Rc<RouteTable>>,
+    locate: flume::Sender<Locate>,
+    draining: watch::Receiver<bool>,
+) -> Context {
+    Context {
+        settings: settings.clone(),
+        metrics,
+        routes,
+        locate,
+        trunks: TrunkHandle::start(),
+        draining,
+        cancels: CancelRegistry::default(),
+    }
+}
+
+async fn pass_on<T>(
+    from: flume::Receiver<T>,
+    to: flume::Sender<NodeMessage>,
+    wrap: impl Fn(T) -> NodeMessage,
+) {
+    while let Ok(item) = from.recv_async().await {
+        if to.send(wrap(item)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Waits for a signal or an operator's order.
+async fn wait_for_stop(node: &flume::Sender<NodeMessage>, mut draining: watch::Receiver<bool>) {
+    let terminate = std::pin::pin!(compio::signal::unix::signal(libc_signals::TERMINATE));
+    let interrupt = std::pin::pin!(compio::signal::unix::signal(libc_signals::INTERRUPT));
+    let signals = std::pin::pin!(select(terminate, interrupt));
+    let ordered = std::pin::pin!(draining.wait_for(|is_draining| *is_draining));
+    if let Either::Left(_) = select(signals, ordered).await {
+        // A stopped control task has nothing to hand over.
+        let _ = node.send(NodeMessage::Drain);
+    }
+}
+
+async fn drain(settings: &VmSettings, callers: &Cell<usize>) {
+    let deadline_ms = clock::now_ms() + settings.drain_ms;
+    compio::time::sleep(LINGER).await;
+    while callers.get() > 0 && clock::now_ms() < deadline_ms {
+        compio::time::sleep(DRAIN_POLL).await;
+    }
+    log::info!(target: "daemon", callers = callers.get(); "stopped");
+}
+
+/// Numbers of signals, the same on every Unix.
+mod libc_signals {
+    /// `SIGTERM`.
+    pub const TERMINATE: i32 = 15;
+    /// `SIGINT`.
+    pub const INTERRUPT: i32 = 2;
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,16 @@
+//! The work that VMs do together: membership, placement, failover and
+//! configuration.
+
+pub mod admin;
+pub mod apply;
+pub mod daemon;
+pub mod delegate;
+pub mod ids;
+pub mod keys;
+pub mod node;
+pub mod operate;
+pub mod peer;
+pub mod peer_clients;
+pub mod peer_server;
+pub mod service_row;
+pub mod status;
--- /dev/null
+++ b/src/control/node/config.rs
@@ -0,0 +1,277 @@
+//! Configuration: the poll of the head row, and how news spread.
+
+use rand::{Rng, seq::IteratorRandom};
+
+use super::{Node, NodeMessage, message::Fetched};
+use crate::{
+    clock,
+    control::{
+        keys,
+        peer::{News, WholeSite},
+    },
+    decide::rollout::{Head, Plan, SiteChange},
+    platform::{PlatformClient, Row},
+    prelude::*,
+    settings::SiteSettings,
+};
+
+/// Mean interval between two reads of the head row, in milliseconds.
+const HEAD_INTERVAL_MS: u64 = 15_000;
+/// Interval while no configuration is known, in milliseconds.
+const FIRST_INTERVAL_MS: u64 = 500;
+/// VMs that a VM tells of a new version.
+const FANOUT: usize = 3;
+/// Longest wait for a VM that is told.
+const PUSH_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait for a whole configuration from another VM.
+const SITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Changes that a VM keeps for others.
+const CHANGES_KEPT: usize = 64;
+
+impl Node {
+    pub(super) fn tick_config(&mut self, now_ms: u64) {
+        if now_ms < self.due.head_ms {
+            return;
+        }
+        let interval_ms = match self.head {
+            Some(_) => HEAD_INTERVAL_MS,
+            None => FIRST_INTERVAL_MS,
+        };
+        let spread_ms = self.rng.random_range(0..=interval_ms);
+        self.due.head_ms = now_ms + interval_ms / 2 + spread_ms;
+        let platform = self.parts.platform.clone();
+        self.ask(async move { NodeMessage::HeadRead(platform.read(keys::CONFIG_HEAD).await) });
+    }
+
+    pub(super) fn config_version(&self) -> Option<u64> {
+        self.head.as_ref().map(|head| head.version)
+    }
+
+    pub(super) fn head_read(&mut self, result: crate::platform::Result<Option<Row<Head>>>) {
+        match result {
+            Ok(Some(row)) => self.hear_head(row.value, None),
+            Ok(None) => self.release_waiting(),
+            Err(error) => {
+                log::warn!(target: "control", code = error.code().number(); "{error}");
+                if self.head.is_none() {
+                    self.fetch_from_peer();
+                }
+            }
+        }
+    }
+
+    /// Another VM has another version: the one behind asks the other.
+    pub(super) fn compare_version(&mut self, vm: &Name, theirs: Option<u64>) {
+        if theirs <= self.config_version() || self.is_fetching {
+            return;
+        }
+        let Some(address) = self.address_of(vm) else {
+            return;
+        };
+        let Some(after) = self.config_version() else {
+            self.fetch_from_peer();
+            return;
+        };
+        self.is_fetching = true;
+        let peers = self.peers.clone();
+        let head = self.head.clone();
+        self.ask(async move {
+            let answer = peers
+                .call(address, PUSH_TIMEOUT, async |client, context| {
+                    client.changes(context, after).await
+                })
+                .await;
+            match (answer, head) {
+                (Ok(Some((head, changes))), _) => NodeMessage::Fetched {
+                    head,
+                    result: Some(Fetched::Changes(changes)),
+                },
+                (_, Some(head)) => NodeMessage::Fetched { head, result: None },
+                (_, None) => NodeMessage::HeadRead(Ok(None)),
+            }
+        });
+    }
+
+    pub(super) fn hear_news(&mut self, news: News) {
+        self.hear_head(news.head, Some(news.change));
+    }
+
+    fn hear_head(&mut self, head: Head, change: Option<SiteChange>) {
+        let plan = head.plan(self.config_version());
+        match plan {
+            Plan::Keep => {}
+            Plan::RefuseOlder => {
+                log::info!(
+                    target: "config", heard_version = head.version,
+                    version = self.config_version(); "older version refused"
+                );
+            }
+            Plan::Changes(refs) => {
+                if let Some(change) =
+                    change.filter(|c| refs.len() == 1 && c.version == head.version)
+                {
+                    self.put_in_force(head, Fetched::Changes(vec![change]));
+                    return;
+                }
+                self.fetch(head, None, refs.into_iter().map(|r| r.digest).collect());
+            }
+            Plan::Snapshot(snapshot, refs) => {
+                let digests = refs.into_iter().map(|r| r.digest).collect();
+                self.fetch(head, Some(snapshot.digest), digests);
+            }
+        }
+    }
+
+    fn fetch(&mut self, head: Head, snapshot: Option<Name>, changes: Vec<Name>) {
+        if self.is_fetching {
+            return;
+        }
+        self.is_fetching = true;
+        let platform = self.parts.platform.clone();
+        self.ask(async move {
+            let result = fetch_objects(&platform, snapshot, &changes).await;
+            NodeMessage::Fetched { head, result }
+        });
+    }
+
+    /// During an outage of the platform a new VM takes the configuration that
+    /// another VM has in force.
+    fn fetch_from_peer(&mut self) {
+        let others = self.membership.peers().keys().cloned();
+        let Some(vm) = others.choose(&mut self.rng) else {
+            return;
+        };
+        let Some(address) = self.address_of(&vm).filter(|_| !self.is_fetching) else {
+            return;
+        };
+        self.is_fetching = true;
+        let peers = self.peers.clone();
+        self.ask(async move {
+            let answer = peers
+                .call(address, SITE_TIMEOUT, async |client, context| {
+                    client.site(context).await
+                })
+                .await;
+            match answer {
+                Ok(Some(whole)) => NodeMessage::Fetched {
+                    head: whole.head,
+                    result: Some(Fetched::Whole(whole.site, Vec::new())),
+                },
+                _ => NodeMessage::Fetched {
+                    head: Head::empty(),
+                    result: None,
+                },
+            }
+        });
+    }
+
+    pub(super) fn fetched(&mut self, head: Head, result: Option<Fetched>) {
+        self.is_fetching = false;
+        match result {
+            Some(fetched) => self.put_in_force(head, fetched),
+            None if head.version > 0 => {
+                log::warn!(target: "config", version = head.version; "version not fetched");
+                self.due.head_ms = clock::now_ms() + FIRST_INTERVAL_MS;
+            }
+            None => {}
+        }
+    }
+
+    fn put_in_force(&mut self, head: Head, fetched: Fetched) {
+        if self
+            .config_version()
+            .is_some_and(|version| version >= head.version)
+        {
+            return;
+        }
+        let changes = match fetched {
+            Fetched::Changes(changes) => changes,
+            Fetched::Whole(site, changes) => {
+                self.site = site;
+                changes
+            }
+        };
+        for change in &changes {
+            change.apply(&mut self.site);
+        }
+        log::info!(
+            target: "config", version = head.version, from_version = self.config_version();
+            "configuration in force"
+        );
+        let is_first = self.head.is_none();
+        self.head = Some(head);
+        let last = changes.last().cloned();
+        for change in changes {
+            self.changes.insert(change.version, change);
+        }
+        while self.changes.len() > CHANGES_KEPT {
+            self.changes.pop_first();
+        }
+        self.take_site();
+        self.release_waiting();
+        if let Some(change) = last.filter(|_| !is_first) {
+            self.spread(change);
+        }
+    }
+
+    fn spread(&mut self, change: SiteChange) {
+        let Some(head) = self.head.clone() else {
+            return;
+        };
+        let others = self.membership.peers().keys();
+        let chosen = others.choose_multiple(&mut self.rng, FANOUT);
+        let addresses: Vec<_> = chosen
+            .into_iter()
+            .filter_map(|vm| self.address_of(vm))
+            .collect();
+        let news = News { head, change };
+        for address in addresses {
+            let peers = self.peers.clone();
+            let news = news.clone();
+            compio::runtime::spawn(async move {
+                // Who misses it learns from probes or from the head row.
+                let _ = peers
+                    .call(address, PUSH_TIMEOUT, async |client, context| {
+                        client.push(context, news.clone()).await
+                    })
+                    .await;
+            })
+            .detach();
+        }
+    }
+
+    pub(super) fn changes_after(&self, after: u64) -> Option<(Head, Vec<SiteChange>)> {
+        let head = self.head.clone()?;
+        let changes: Vec<_> = self
+            .changes
+            .range(after + 1..)
+            .map(|(_, c)| c.clone())
+            .collect();
+        let is_whole = changes.len() as u64 == head.version.saturating_sub(after);
+        (is_whole && !changes.is_empty()).then_some((head, changes))
+    }
+
+    pub(super) fn whole_site(&self) -> Option<WholeSite> {
+        let head = self.head.clone()?;
+        let site = self.site.clone();
+        Some(WholeSite { head, site })
+    }
+}
+
+async fn fetch_objects(
+    platform: &PlatformClient,
+    snapshot: Option<Name>,
+    digests: &[Name],
+) -> Option<Fetched> {
+    let mut changes = Vec::new();
+    for digest in digests {
+        let body = platform.read_object(digest).await.ok()??;
+        changes.push(serde_json::from_slice::<SiteChange>(&body).ok()?);
+    }
+    let Some(snapshot) = snapshot else {
+        return Some(Fetched::Changes(changes));
+    };
+    let body = platform.read_object(&snapshot).await.ok()??;
+    let site: SiteSettings = serde_json::from_slice(&body).ok()?;
+    Some(Fetched::Whole(site, changes))
+}
--- /dev/null
+++ b/src/control/node/members.rs
@@ -0,0 +1,230 @@
+//! Membership: probes, the platform's list, and what follows from a change.
+
+use futures::{channel::oneshot, future::join_all};
+use rand::{Rng, seq::IteratorRandom};
+
+use super::{Node, NodeMessage};
+use crate::{
+    clock,
+    control::peer::{Ping, Pong},
+    decide::membership::Place,
+    platform::ListedVm,
+    prelude::*,
+    proxy::decision_log::decision,
+};
+
+/// Interval of probes, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 1_000;
+/// Longest wait for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for the answer to a probe by a third VM.
+const HELP_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// VMs asked to probe a silent one.
+const HELPERS: usize = 2;
+/// VMs told at once that this one is leaving.
+const FAREWELLS: usize = 8;
+/// Shortest interval between two looks at the platform's list, in milliseconds.
+const LIST_INTERVAL_MS: u64 = 3_000;
+/// Bytes of the platform's list that may be read in a second, on average.
+const LIST_BYTES_PER_S: u64 = 500;
+/// Bytes of one VM in the platform's list.
+const LIST_ROW_BYTES: u64 = 160;
+
+impl Node {
+    pub(super) fn tick_members(&mut self, now_ms: u64) {
+        if now_ms >= self.due.vms_ms {
+            let listed_bytes = self.membership.peers().len() as u64 * LIST_ROW_BYTES;
+            let interval_ms = LIST_INTERVAL_MS.max(listed_bytes * 1_000 / LIST_BYTES_PER_S);
+            let jitter_ms = self.rng.random_range(0..=interval_ms / 2);
+            self.due.vms_ms = now_ms + interval_ms + jitter_ms;
+            let platform = self.parts.platform.clone();
+            self.ask(async move { NodeMessage::VmsListed(platform.list_vms().await) });
+        }
+        if now_ms >= self.due.probe_ms {
+            self.due.probe_ms = now_ms + PROBE_INTERVAL_MS;
+            self.probe();
+        }
+        for vm in self.membership.tick(now_ms) {
+            log::warn!(target: "membership", peer = &*vm; "VM is dead");
+        }
+        self.note_working();
+    }
+
+    pub(super) fn vms_listed(&mut self, result: crate::platform::Result<Vec<ListedVm>>) {
+        let vms = match result {
+            Ok(vms) => vms,
+            Err(error) => {
+                log::warn!(target: "control", code = error.code().number(); "{error}");
+                self.due.vms_ms = clock::now_ms() + LIST_INTERVAL_MS;
+                return;
+            }
+        };
+        self.has_listed_vms = true;
+        let now_ms = clock::now_ms();
+        for vm in &vms {
+            let place = Place {
+                zone: vm.zone.clone(),
+                internal: vm.internal,
+                peer: vm.peer,
+            };
+            self.membership.listed(now_ms, &vm.name, &place, vm.leaving);
+            if vm.leaving && vm.name == self.own && !self.is_draining() {
+                log::info!(target: "control", "the platform takes this VM away");
+                self.drain();
+            }
+        }
+        let names = vms.into_iter().map(|vm| vm.name).collect();
+        self.membership.forget(now_ms, &names);
+        self.note_working();
+    }
+
+    fn probe(&mut self) {
+        let Some(vm) = self.membership.next_probe(&mut self.rng) else {
+            return;
+        };
+        self.ping(&vm);
+    }
+
+    pub(super) fn ping(&mut self, vm: &Name) {
+        let Some(address) = self.address_of(vm) else {
+            return;
+        };
+        let ping = self.make_ping();
+        let peers = self.peers.clone();
+        let vm = vm.clone();
+        let helpers: Vec<_> = self
+            .membership
+            .helpers(&vm, HELPERS, &mut self.rng)
+            .iter()
+            .filter_map(|helper| self.address_of(helper))
+            .collect();
+        self.ask(async move {
+            let pong = peers
+                .call(address, PROBE_TIMEOUT, async |client, context| {
+                    client.ping(context, ping.clone()).await
+                })
+                .await;
+            if let Ok(Some(pong)) = pong {
+                let pong = Some(pong);
+                return NodeMessage::Pinged { vm, pong };
+            }
+            let asked = helpers.into_iter().map(|helper| {
+                let peers = peers.clone();
+                let vm = vm.clone();
+                async move {
+                    let probe = peers.call(helper, HELP_TIMEOUT, async |client, context| {
+                        client.probe(context, vm.clone()).await
+                    });
+                    probe.await.unwrap_or(false)
+                }
+            });
+            let is_reached = join_all(asked).await.into_iter().any(|reached| reached);
+            // Reached by a third VM it lives: its incarnation stays unknown.
+            let pong = is_reached.then(|| Ping {
+                from: vm.clone(),
+                incarnation: 0,
+                changes: Vec::new(),
+                config_version: None,
+            });
+            NodeMessage::Pinged { vm, pong }
+        });
+    }
+
+    pub(super) fn pinged(&mut self, vm: &Name, pong: Option<Pong>) {
+        let now_ms = clock::now_ms();
+        match pong {
+            Some(pong) => {
+                self.membership.answered(now_ms, vm, pong.incarnation);
+                self.membership.merge(now_ms, &pong.changes);
+                self.compare_version(vm, pong.config_version);
+            }
+            None => self.membership.silent(now_ms, vm),
+        }
+        self.note_working();
+    }
+
+    pub(super) fn answer_ping(&mut self, ping: &Ping) -> Pong {
+        let now_ms = clock::now_ms();
+        self.membership
+            .answered(now_ms, &ping.from, ping.incarnation);
+        self.membership.merge(now_ms, &ping.changes);
+        self.compare_version(&ping.from, ping.config_version);
+        self.note_working();
+        self.make_ping()
+    }
+
+    pub(super) fn probe_for(&mut self, vm: &Name, reply: oneshot::Sender<bool>) {
+        let Some(address) = self.address_of(vm) else {
+            let _ = reply.send(false);
+            return;
+        };
+        let ping = self.make_ping();
+        let peers = self.peers.clone();
+        compio::runtime::spawn(async move {
+            let pong = peers
+                .call(address, PROBE_TIMEOUT, async |client, context| {
+                    client.ping(context, ping.clone()).await
+                })
+                .await;
+            // The asker may have given up.
+            let _ = reply.send(matches!(pong, Ok(Some(_))));
+        })
+        .detach();
+    }
+
+    /// Tells some VMs, and the delegates of the slots here, that this VM leaves.
+    pub(super) fn say_farewell(&mut self) {
+        self.membership.leave();
+        let delegates = self.slots.keys().filter_map(|service| {
+            let known = self.rows.get(service)?;
+            known.row.value.delegate.clone()
+        });
+        let mut told: BTreeSet<Name> = delegates.collect();
+        let others = self.membership.peers().keys();
+        told.extend(
+            others
+                .choose_multiple(&mut self.rng, FAREWELLS)
+                .into_iter()
+                .cloned(),
+        );
+        for vm in told {
+            self.ping(&vm);
+        }
+    }
+
+    pub(super) fn address_of(&self, vm: &str) -> Option<std::net::SocketAddr> {
+        let peer = self.membership.peers().get(vm)?;
+        Some(peer.place.peer)
+    }
+
+    fn make_ping(&mut self) -> Ping {
+        Ping {
+            from: self.own.clone(),
+            incarnation: self.membership.incarnation(),
+            changes: self.membership.outgoing(),
+            config_version: self.config_version(),
+        }
+    }
+
+    /// Does what follows from a change of the VMs that may get new work.
+    fn note_working(&mut self) {
+        let working: BTreeSet<Name> = self
+            .membership
+            .working()
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        if working == self.working {
+            return;
+        }
+        for vm in working.difference(&self.working) {
+            decision!("placement", peer = &**vm; "VM may get work");
+        }
+        for vm in self.working.difference(&working) {
+            decision!("placement", peer = &**vm; "VM gets no new work");
+        }
+        self.guardians.set_vms(&working);
+        self.working = working;
+        self.due.rows_ms = 0;
+        self.publish();
+    }
+}
--- /dev/null
+++ b/src/control/node/orders.rs
@@ -0,0 +1,163 @@
+//! Failover and operators: opinions, promotions, reports and orders.
+
+use futures::channel::oneshot;
+
+use super::{Node, NodeMessage};
+use crate::{
+    control::{
+        peer::OrderAnswer,
+        status::{MemberReport, SlotStatus, VmStatus},
+    },
+    decide::{failover::Event, member::Role},
+    prelude::*,
+    proxy::slot::SlotHandle,
+};
+
+/// Longest wait for an opinion.
+const OPINION_TIMEOUT: Duration = Duration::from_millis(400);
+
+impl Node {
+    /// Asks the other slot holders whether they reach the primary.
+    pub(super) fn ask_opinions(&mut self, service: &Name, member: &Name) {
+        let Some(known) = self.rows.get(service) else {
+            return;
+        };
+        let holders = known.row.value.holders();
+        let others = holders.iter().flatten().filter(|vm| **vm != self.own);
+        let addresses: Vec<_> = others.filter_map(|vm| self.address_of(vm)).collect();
+        for address in addresses {
+            let peers = self.peers.clone();
+            let service = service.clone();
+            let member = member.clone();
+            self.ask(async move {
+                let answer = peers
+                    .call(address, OPINION_TIMEOUT, async |client, context| {
+                        client
+                            .reaches_primary(context, service.clone(), member.clone())
+                            .await
+                    })
+                    .await;
+                let reaches = answer.unwrap_or(false);
+                NodeMessage::OpinionHeard { service, reaches }
+            });
+        }
+    }
+
+    pub(super) fn opinion(&mut self, service: &Name, reaches_primary: bool) {
+        self.tell_delegate(service, Event::Opinion { reaches_primary });
+    }
+
+    pub(super) fn answer_reaches(
+        &mut self,
+        service: &Name,
+        member: Name,
+        reply: oneshot::Sender<bool>,
+    ) {
+        let Some(slot) = self.slots.get(service).map(|own| own.handle.clone()) else {
+            let _ = reply.send(false);
+            return;
+        };
+        compio::runtime::spawn(async move {
+            // The delegate may have given up.
+            let _ = reply.send(reaches(&slot, &member).await);
+        })
+        .detach();
+    }
+
+    /// The delegate here promoted a member: tell everybody, then write the row.
+    pub(super) fn promoted(&mut self, service: Name, member: Name, term: u64) {
+        log::info!(
+            target: "placement", service = &*service, member = &*member, term = term;
+            "promoted"
+        );
+        self.promoted
+            .insert(service.clone(), (term, member.clone()));
+        self.refresh_slot(&service);
+        if let Some(known) = self.rows.get(&service) {
+            let mut row = known.row.clone();
+            row.value.term = term;
+            row.value.primary = Some(member);
+            // The version stays: it tells the holders to look, not what to keep.
+            self.tell_holders(&service, &row);
+        }
+        self.due.rows_ms = 0;
+    }
+
+    pub(super) fn order_failover(&mut self, service: &Name, member: &Name) -> OrderAnswer {
+        let refused = |text: &str| OrderAnswer::Refused(text.into());
+        let Some(settings) = self.services.get(service) else {
+            return refused("the service is not configured");
+        };
+        let Some(preferred) = settings.members.keys().position(|name| name == member) else {
+            return refused("the service has no such member");
+        };
+        if !self.delegates.contains_key(service) {
+            return refused("this VM is not the delegate of the service");
+        }
+        self.tell_delegate(service, Event::Order { preferred });
+        OrderAnswer::Accepted
+    }
+
+    pub(super) fn status(&mut self, reply: oneshot::Sender<VmStatus>) {
+        let delegate_of = self.delegates.iter().map(|(service, own)| {
+            let phase = own.handle.phase().to_string();
+            (service.clone(), Name::from(phase))
+        });
+        let peers = self.membership.peers().iter().map(|(vm, peer)| {
+            let liveness = peer.liveness.to_string();
+            (vm.clone(), Name::from(liveness))
+        });
+        let mut status = VmStatus {
+            vm: self.own.clone(),
+            zone: self.parts.settings.zone.clone(),
+            config_version: self.config_version(),
+            callers: self.parts.callers.get(),
+            is_draining: self.is_draining(),
+            slots: Vec::new(),
+            delegate_of: delegate_of.collect(),
+            peers: peers.collect(),
+        };
+        let slots: Vec<(Name, SlotHandle)> = self
+            .slots
+            .iter()
+            .map(|(service, own)| (service.clone(), own.handle.clone()))
+            .collect();
+        compio::runtime::spawn(async move {
+            for (service, slot) in slots {
+                let report = slot.report().await;
+                status.slots.push(SlotStatus {
+                    service,
+                    members: report.members.iter().map(MemberReport::new).collect(),
+                    waiting: report.waiting,
+                    open: report.open,
+                });
+            }
+            // The operator may have given up.
+            let _ = reply.send(status);
+        })
+        .detach();
+    }
+
+    /// Starts the graceful stop: no new callers, slots to others.
+    pub(super) fn drain(&mut self) {
+        if self.is_draining() {
+            return;
+        }
+        log::info!(target: "control", "stopping");
+        self.say_farewell();
+        self.parts.draining.send_replace(true);
+    }
+}
+
+async fn reaches(slot: &SlotHandle, member: &Name) -> bool {
+    let report = slot.report().await;
+    let index = report
+        .members
+        .iter()
+        .position(|view| view.name.as_ref() == Some(member));
+    let Some(index) = index else { return false };
+    let leads = report.members[index]
+        .observation
+        .is_some_and(|o| o.status.role == Role::Primary);
+    leads && !slot.is_gone(index, 0).await
+}
--- /dev/null
+++ b/src/control/node/rows.rs
@@ -0,0 +1,311 @@
+//! Rows of services: reading, claiming, placing slots, reserving terms.
+
+use futures::future::join_all;
+
+use super::{KnownRow, Node, NodeMessage};
+use crate::{
+    clock,
+    control::{ids, keys, service_row::ServiceRow},
+    decide::{
+        failover::Event,
+        placement::{Candidate, place},
+    },
+    platform::{Result, Row, Written},
+    prelude::*,
+    proxy::decision_log::decision,
+};
+
+/// Interval between two looks at the rows that this VM answers for.
+const ROWS_INTERVAL_MS: u64 = 500;
+/// Age at which a row that this VM answers for is read again, in milliseconds.
+const ROW_REPAIR_MS: u64 = 60_000;
+/// Longest wait for a VM that is told of a row.
+const TELL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Fewest reserved terms left before more are reserved.
+const RESERVED_MIN: u64 = 8;
+
+impl Node {
+    pub(super) fn tick_rows(&mut self, now_ms: u64) {
+        let is_ready = self.has_listed_vms && self.head.is_some() && !self.is_draining();
+        if now_ms < self.due.rows_ms || !is_ready {
+            return;
+        }
+        self.due.rows_ms = now_ms + ROWS_INTERVAL_MS;
+        let mut services: BTreeSet<Name> =
+            self.guardians.guarded_by(&self.own).into_iter().collect();
+        services.extend(self.delegates.keys().cloned());
+        services.extend(self.slots.keys().cloned());
+        for service in services {
+            self.look_after(&service, now_ms);
+        }
+    }
+
+    fn look_after(&mut self, service: &Name, now_ms: u64) {
+        if self.writing.contains(service) {
+            return;
+        }
+        let Some(known) = self.rows.get_mut(service) else {
+            self.read_row_once(service);
+            return;
+        };
+        if now_ms >= known.read_ms + ROW_REPAIR_MS {
+            known.read_ms = now_ms;
+            self.read_row(service);
+            return;
+        }
+        let row = known.row.clone();
+        let delegate = row.value.delegate.clone();
+        let is_cared_for = delegate
+            .as_ref()
+            .is_some_and(|vm| self.membership.is_working(vm));
+        if delegate.as_ref() == Some(&self.own) {
+            self.place_slots(service, &row);
+        } else if !is_cared_for && self.guardians.guardian(service) == Some(&self.own) {
+            self.claim(service, Some(&row));
+        }
+    }
+
+    fn read_row_once(&mut self, service: &Name) {
+        if !self.reading.contains_key(service) {
+            self.reading.insert(service.clone(), Vec::new());
+            self.read_row(service);
+        }
+    }
+
+    pub(super) fn row_read(&mut self, service: &Name, result: Result<Option<Row<ServiceRow>>>) {
+        let waiting = self.reading.remove(service).unwrap_or_default();
+        match result {
+            Ok(Some(row)) => self.adopt_row(service, row, true),
+            Ok(None) if self.guardians.guardian(service) == Some(&self.own) => {
+                self.claim(service, None);
+            }
+            Ok(None) => {}
+            Err(error) => {
+                log::warn!(
+                    target: "control", service = &**service, code = error.code().number();
+                    "row not read: {error}"
+                );
+            }
+        }
+        for reply in waiting {
+            // The caller may have gone away.
+            let _ = reply.send(());
+        }
+    }
+
+    /// Another VM told of a row. A delegate tells of a promotion before it is
+    /// written: the version is old then, but the term is new.
+    pub(super) fn hear_row(&mut self, service: &Name, row: Row<ServiceRow>) {
+        let known_term = self
+            .rows
+            .get(service)
+            .map_or(0, |known| known.row.value.term);
+        if row.value.term > known_term {
+            self.refresh_slot(service);
+        }
+        self.adopt_row(service, row, false);
+    }
+
+    /// Takes over a row if it is newer than what is known.
+    pub(super) fn adopt_row(&mut self, service: &Name, row: Row<ServiceRow>, is_read: bool) {
+        let now_ms = clock::now_ms();
+        if let Some(known) = self.rows.get_mut(service)
+            && known.row.version >= row.version
+        {
+            if is_read {
+                known.read_ms = now_ms;
+            }
+            return;
+        }
+        if !self.services.contains_key(service) {
+            return;
+        }
+        let before = self
+            .rows
+            .get(service)
+            .map_or(0, |known| known.row.value.term);
+        let after = row.value.term;
+        let known = KnownRow {
+            row,
+            read_ms: now_ms,
+        };
+        self.rows.insert(service.clone(), known);
+        self.reconcile(service);
+        if after > before {
+            self.refresh_slot(service);
+        }
+        self.publish();
+    }
+
+    /// Makes this VM the delegate of a service whose delegate is gone.
+    fn claim(&mut self, service: &Name, known: Option<&Row<ServiceRow>>) {
+        let mut row = known.map(|k| k.value.clone()).unwrap_or_default();
+        decision!(
+            "placement", service = &**service, reason = "guardian",
+            from = row.delegate.as_deref().unwrap_or("none"); "claiming delegate role"
+        );
+        row.delegate = Some(self.own.clone());
+        row.reserve(row.term);
+        self.assign(service, &mut row);
+        self.write_row(service, known.map_or(0, |k| k.version), row);
+    }
+
+    /// Gives slots without a working holder to other VMs.
+    fn place_slots(&mut self, service: &Name, known: &Row<ServiceRow>) {
+        let mut row = known.value.clone();
+        self.assign(service, &mut row);
+        let unwritten = self.promoted.get(service).cloned();
+        if let Some((term, member)) = unwritten.filter(|(term, _)| *term > row.term) {
+            row.term = term;
+            row.primary = Some(member);
+            row.reserved_from = row.reserved_from.max(term + 1);
+            if row.reserved_from + RESERVED_MIN > row.reserved_until {
+                row.reserve(term);
+            }
+        }
+        if row != known.value {
+            self.write_row(service, known.version, row);
+        }
+    }
+
+    fn assign(&self, service: &Name, row: &mut ServiceRow) {
+        let Some(settings) = self.services.get(service) else {
+            return;
+        };
+        let zones: Vec<Name> = settings.members.values().map(|m| m.zone.clone()).collect();
+        let zones: Vec<Name> = (0..settings.slots as usize)
+            .map(|slot| zones[slot % zones.len()].clone())
+            .collect();
+        let vms: Vec<Candidate> = self
+            .membership
+            .working()
+            .map(|(vm, zone)| Candidate {
+                vm: vm.clone(),
+                zone: zone.clone(),
+            })
+            .collect();
+        let placed = place(service, &zones, &row.holders(), &vms);
+        let holders: Vec<Option<Name>> = placed
+            .iter()
+            .enumerate()
+            .map(|(slot, placed)| {
+                let (vm, reason) = placed.as_ref()?;
+                if row.slots.get(slot).and_then(|s| s.vm.as_ref()) != Some(vm) {
+                    decision!(
+                        "placement", service = &**service, slot = slot, peer = &**vm,
+                        reason = reason.to_string().as_str(); "slot placed"
+                    );
+                }
+                Some(vm.clone())
+            })
+            .collect();
+        row.set_holders(&holders);
+    }
+
+    pub(super) fn reserve(&mut self, service: &Name, highest: u64) {
+        let Some(known) = self.rows.get(service).map(|k| k.row.clone()) else {
+            return;
+        };
+        let is_own = known.value.delegate.as_ref() == Some(&self.own);
+        if !is_own || self.writing.contains(service) {
+            return;
+        }
+        let mut row = known.value;
+        row.reserve(highest);
+        self.write_row(service, known.version, row);
+    }
+
+    fn write_row(&mut self, service: &Name, expect_version: u64, row: ServiceRow) {
+        self.writing.insert(service.clone());
+        let platform = self.parts.platform.clone();
+        let service = service.clone();
+        let change_id = ids::change_id(&self.own);
+        self.ask(async move {
+            let key = keys::service(&service);
+            let result = platform.write(&key, expect_version, &row, &change_id).await;
+            let row = Box::new(row);
+            NodeMessage::RowWritten {
+                service,
+                row,
+                result,
+            }
+        });
+    }
+
+    pub(super) fn row_written(
+        &mut self,
+        service: &Name,
+        row: ServiceRow,
+        result: Result<Written<ServiceRow>>,
+    ) {
+        self.writing.remove(service);
+        match result {
+            Ok(Written::Done(version)) => {
+                let reserved = row.reserved_from..row.reserved_until;
+                let row = Row {
+                    version,
+                    value: row,
+                    change_id: "".into(),
+                };
+                self.adopt_row(service, row.clone(), true);
+                self.tell_delegate(
+                    service,
+                    Event::Reserved {
+                        from: reserved.start,
+                        until: reserved.end,
+                    },
+                );
+                self.tell_holders(service, &row);
+            }
+            Ok(Written::Conflict(Some(row))) => {
+                log::info!(
+                    target: "control", service = &**service, version = row.version;
+                    "row was written by another VM"
+                );
+                self.adopt_row(service, row, true);
+            }
+            Ok(Written::Conflict(None)) => {
+                self.rows.remove(service);
+            }
+            Err(error) => {
+                log::warn!(
+                    target: "control", service = &**service, code = error.code().number();
+                    "row not written: {error}"
+                );
+                // Whether it was written is learnt by reading the row.
+                if let Some(known) = self.rows.get_mut(service) {
+                    known.read_ms = 0;
+                }
+            }
+        }
+    }
+
+    /// Tells the holders and the delegate of a row.
+    pub(super) fn tell_holders(&mut self, service: &Name, row: &Row<ServiceRow>) {
+        let mut vms: BTreeSet<Name> = row.value.holders().into_iter().flatten().collect();
+        vms.extend(row.value.delegate.clone());
+        vms.remove(&self.own);
+        let addresses: Vec<_> = vms.iter().filter_map(|vm| self.address_of(vm)).collect();
+        let peers = self.peers.clone();
+        let service = service.clone();
+        let row = row.clone();
+        compio::runtime::spawn(async move {
+            let calls = addresses.into_iter().map(|address| {
+                let (service, row) = (service.clone(), row.clone());
+                let peers = peers.clone();
+                async move {
+                    // Who misses it reads the row when it needs it.
+                    let _ = peers
+                        .call(address, TELL_TIMEOUT, async |client, context| {
+                            client
+                                .row_changed(context, service.clone(), row.clone())
+                                .await
+                        })
+                        .await;
+                }
+            });
+            join_all(calls).await;
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/src/control/node/services.rs
@@ -0,0 +1,248 @@
+//! Services: which slots and delegates run here, and the routes.
+
+use std::rc::Rc;
+
+use super::{Node, NodeMessage, OwnDelegate, OwnSlot};
+use crate::{
+    control::delegate::{DelegateContext, DelegateHandle},
+    prelude::*,
+    proxy::{
+        context::Locate,
+        decision_log::decision,
+        route_table::{Holder, Route, RouteTable},
+        slot::{self, SlotContext, SlotHandle, SlotMessage},
+    },
+    settings::ServiceSettings,
+};
+
+impl Node {
+    /// Takes over the services of the configuration.
+    pub(super) fn take_site(&mut self) {
+        let mut services = BTreeMap::new();
+        for (name, settings) in &self.site.services {
+            let known = self.services.get(name);
+            let kept = known.filter(|known| ***known == *settings).cloned();
+            let settings = kept.unwrap_or_else(|| Arc::new(settings.clone()));
+            self.guardians.add_service(name);
+            services.insert(name.clone(), settings);
+        }
+        self.guardians
+            .retain_services(|name| services.contains_key(name));
+        self.rows.retain(|name, _| services.contains_key(name));
+        self.services = services;
+        self.due.rows_ms = 0;
+        let names: BTreeSet<Name> = self
+            .slots
+            .keys()
+            .chain(self.delegates.keys())
+            .cloned()
+            .collect();
+        for name in names {
+            self.reconcile(&name);
+        }
+        self.publish();
+    }
+
+    /// Starts or stops the slot and the delegate of a service as its row says.
+    pub(super) fn reconcile(&mut self, service: &Name) {
+        let settings = self.services.get(service).cloned();
+        let known = self.rows.get(service).map(|k| &k.row.value);
+        let is_holder = known.is_some_and(|row| row.is_holder(&self.own));
+        let is_delegate = known.is_some_and(|row| row.delegate.as_ref() == Some(&self.own));
+        let reserved = known.map_or(0..0, |row| row.reserved_from..row.reserved_until);
+        self.reconcile_slot(service, settings.clone().filter(|_| is_holder));
+        self.reconcile_delegate(service, settings.filter(|_| is_delegate), reserved);
+    }
+
+    fn reconcile_slot(&mut self, service: &Name, wanted: Option<Arc<ServiceSettings>>) {
+        let Some(settings) = wanted else {
+            if let Some(own) = self.slots.remove(service) {
+                decision!("placement", service = &**service; "slot given up");
+                // The task ends by this message; it may have ended already.
+                let _ = own.stop.send(());
+            }
+            return;
+        };
+        if let Some(own) = self.slots.get_mut(service) {
+            if Arc::ptr_eq(&own.settings, &settings) {
+                return;
+            }
+            let same_members = same_members(&own.settings, &settings);
+            own.settings = settings.clone();
+            if same_members {
+                own.handle.send(SlotMessage::Settings(settings));
+                return;
+            }
+            let _ = own.stop.send(());
+        }
+        decision!("placement", service = &**service; "slot taken");
+        let own = self.start_slot(service, settings);
+        self.slots.insert(service.clone(), own);
+    }
+
+    fn start_slot(&self, service: &Name, settings: Arc<ServiceSettings>) -> OwnSlot {
+        let (handle, mailbox) = SlotHandle::new();
+        let (stop, stopped) = flume::bounded(1);
+        let context = SlotContext {
+            service: service.clone(),
+            settings: settings.clone(),
+            zone: self.parts.settings.zone.clone(),
+            metrics: self.parts.metrics.clone(),
+            primary_failed: self.parts.primary_failed.clone(),
+        };
+        let task = slot::run(context, handle.clone(), mailbox, stopped);
+        compio::runtime::spawn(task).detach();
+        OwnSlot {
+            handle,
+            stop,
+            settings,
+        }
+    }
+
+    fn reconcile_delegate(
+        &mut self,
+        service: &Name,
+        wanted: Option<Arc<ServiceSettings>>,
+        reserved: std::ops::Range<u64>,
+    ) {
+        let Some(settings) = wanted else {
+            if self.delegates.remove(service).is_some() {
+                decision!("placement", service = &**service; "delegate role given up");
+            }
+            return;
+        };
+        let known = self.delegates.get(service);
+        if known.is_some_and(|own| Arc::ptr_eq(&own.settings, &settings)) {
+            return;
+        }
+        decision!("placement", service = &**service; "delegate role taken");
+        let context = DelegateContext {
+            service: service.clone(),
+            settings: settings.clone(),
+            node: self.mailbox.clone(),
+            metrics: self.parts.metrics.clone(),
+        };
+        let handle = DelegateHandle::start(context, reserved);
+        self.delegates
+            .insert(service.clone(), OwnDelegate { handle, settings });
+    }
+
+    /// Publishes the routes that are known.
+    pub(super) fn publish(&self) {
+        let mut table = RouteTable::new();
+        for (service, settings) in &self.services {
+            let Some(known) = self.rows.get(service) else {
+                // A service without a row has no route yet; callers ask.
+                let route = Route {
+                    settings: settings.clone(),
+                    slot: None,
+                    holders: Vec::new(),
+                };
+                table.insert(service.clone(), route);
+                continue;
+            };
+            let route = Route {
+                settings: settings.clone(),
+                slot: self.slots.get(service).map(|own| own.handle.clone()),
+                holders: self.holders(&known.row.value.holders()),
+            };
+            table.insert(service.clone(), route);
+        }
+        self.parts.routes.send_replace(Rc::new(table));
+        self.parts.ready.send_replace(self.head.is_some());
+    }
+
+    /// Reachable holders, nearest first.
+    fn holders(&self, vms: &[Option<Name>]) -> Vec<Holder> {
+        let own_zone = &self.parts.settings.zone;
+        let peers = self.membership.peers();
+        let others = vms.iter().flatten().filter(|vm| **vm != self.own);
+        let mut holders: Vec<Holder> = others
+            .filter(|vm| self.membership.is_working(vm))
+            .filter_map(|vm| {
+                let peer = peers.get(vm)?;
+                Some(Holder {
+                    vm: vm.clone(),
+                    internal: peer.place.internal,
+                    is_near: peer.place.zone == *own_zone,
+                })
+            })
+            .collect();
+        holders.sort_by_key(|holder| !holder.is_near);
+        holders
+    }
+
+    /// A caller needs a route that the table lacks or that has failed.
+    pub(super) fn locate(&mut self, locate: Locate) {
+        if self.head.is_none() {
+            self.waiting_for_site.push(locate);
+            return;
+        }
+        if !self.services.contains_key(&locate.service) {
+            // Unknown here; the reply makes the caller look and be refused.
+            let _ = locate.reply.send(());
+            return;
+        }
+        let service = locate.service.clone();
+        self.reading
+            .entry(service.clone())
+            .or_default()
+            .push(locate.reply);
+        self.read_row(&service);
+    }
+
+    /// Answers the callers that waited for a first configuration.
+    pub(super) fn release_waiting(&mut self) {
+        for locate in std::mem::take(&mut self.waiting_for_site) {
+            match self.head {
+                Some(_) => self.locate(locate),
+                None => {
+                    let _ = locate.reply.send(());
+                }
+            }
+        }
+    }
+
+    /// A slot on this VM lost its primary: the delegate should look at once.
+    pub(super) fn primary_failed(&mut self, service: &Name) {
+        if let Some(own) = self.delegates.get(service) {
+            own.handle
+                .send(crate::decide::failover::Event::TrafficFailed);
+        }
+    }
+
+    /// Makes the slot of a service look for its primary.
+    pub(super) fn refresh_slot(&self, service: &Name) {
+        if let Some(own) = self.slots.get(service) {
+            own.handle.send(SlotMessage::Refresh);
+        }
+    }
+
+    /// Sends the delegate of a service an event.
+    pub(super) fn tell_delegate(&self, service: &Name, event: crate::decide::failover::Event) {
+        if let Some(own) = self.delegates.get(service) {
+            own.handle.send(event);
+        }
+    }
+
+    /// A message that looks at a row again.
+    pub(super) fn read_row(&mut self, service: &Name) {
+        let platform = self.parts.platform.clone();
+        let service = service.clone();
+        self.ask(async move {
+            let key = crate::control::keys::service(&service);
+            let result = platform.read(&key).await;
+            NodeMessage::RowRead { service, result }
+        });
+    }
+}
+
+fn same_members(a: &ServiceSettings, b: &ServiceSettings) -> bool {
+    let place = |s: &ServiceSettings| -> Vec<_> {
+        let members = s.members.iter();
+        members
+            .map(|(n, m)| (n.clone(), m.address, m.zone.clone()))
+            .collect()
+    };
+    place(a) == place(b)
+}
--- /dev/null
+++ b/src/control/peer_clients.rs
@@ -0,0 +1,122 @@
+//! Clients of other VMs, kept for reuse.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+
+use compio::{io::compat::AsyncStream, net::TcpStream};
+use futures::StreamExt;
+use tarpc::{client, context, tokio_serde::formats::Json};
+use tokio_util::{codec::LengthDelimitedCodec, compat::FuturesAsyncReadCompatExt};
+
+use super::peer::PeerClient;
+use crate::prelude::*;
+
+/// Longest message between VMs, in bytes.
+pub const MESSAGE_MAX_BYTES: usize = 64 << 20;
+/// Longest time to reach a VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Clients kept.
+const CLIENTS_MAX: usize = 64;
+
+/// Error of a call to another VM.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("VM at {address} does not answer: {text}")]
+pub struct PeerError {
+    address: SocketAddr,
+    text: String,
+}
+
+/// Result of this module.
+pub type Result<T> = std::result::Result<T, PeerError>;
+
+/// Transport of calls over a socket.
+pub type Transport<In, Out> = tarpc::serde_transport::Transport<
+    tokio_util::compat::Compat<AsyncStream<TcpStream>>,
+    In,
+    Out,
+    Json<In, Out>,
+>;
+
+/// Wraps a socket for calls.
+pub fn transport<In, Out>(stream: TcpStream) -> Transport<In, Out>
+where
+    In: for<'de> serde::Deserialize<'de>,
+    Out: serde::Serialize,
+{
+    let framed = LengthDelimitedCodec::builder()
+        .max_frame_length(MESSAGE_MAX_BYTES)
+        .new_framed(AsyncStream::new(stream).compat());
+    tarpc::serde_transport::new(framed, Json::default())
+}
+
+/// A context for a call that may take `timeout`.
+pub fn within(timeout: Duration) -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + timeout;
+    context
+}
+
+/// Clients of other VMs.
+#[derive(Clone, Default)]
+pub struct PeerClients {
+    clients: Rc<RefCell<BTreeMap<SocketAddr, PeerClient>>>,
+}
+
+impl PeerClients {
+    /// Makes a call; a client whose connection broke is replaced.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the VM can't be reached or does not answer in time.
+    pub async fn call<T>(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        call: impl AsyncFn(PeerClient, context::Context) -> std::result::Result<T, client::RpcError>,
+    ) -> Result<T> {
+        let error = |text: String| PeerError { address, text };
+        let known = self.clients.borrow().get(&address).cloned();
+        let client = match known {
+            Some(client) => client,
+            None => self.connect(address).await?,
+        };
+        match call(client, within(timeout)).await {
+            Ok(answer) => Ok(answer),
+            Err(failure) => {
+                self.clients.borrow_mut().remove(&address);
+                Err(error(failure.to_string()))
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<PeerClient> {
+        let error = |text: String| PeerError { address, text };
+        let stream = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| error("no answer in time".into()))?
+            .map_err(|e| error(e.to_string()))?;
+        stream.set_nodelay(true).map_err(|e| error(e.to_string()))?;
+        let new = PeerClient::new(client::Config::default(), transport(stream));
+        let dispatch = new.dispatch;
+        compio::runtime::spawn(async move {
+            // A broken connection shows as failed calls.
+            let _ = dispatch.await;
+        })
+        .detach();
+        let mut clients = self.clients.borrow_mut();
+        if clients.len() >= CLIENTS_MAX {
+            clients.pop_first();
+        }
+        clients.insert(address, new.client.clone());
+        Ok(new.client)
+    }
+}
+
+/// Executes the futures of a server's requests on the runtime of this thread.
+pub async fn spawn_each<F>(requests: impl futures::Stream<Item = F>)
+where
+    F: Future<Output = ()> + 'static,
+{
+    requests
+        .for_each(|request| async move { compio::runtime::spawn(request).detach() })
+        .await;
+}
--- /dev/null
+++ b/src/control/peer_server.rs
@@ -0,0 +1,126 @@
+//! The side of a VM that answers calls: it passes them on to the control task.
+
+use compio::net::TcpListener;
+use futures::channel::oneshot;
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+
+use super::{
+    node::NodeMessage,
+    peer::{News, OrderAnswer, Peer, Ping, Pong, WholeSite},
+    peer_clients::{spawn_each, transport},
+    service_row::ServiceRow,
+    status::VmStatus,
+};
+use crate::{
+    decide::rollout::{Head, SiteChange},
+    platform::Row,
+    prelude::*,
+};
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers calls for one VM.
+#[derive(Clone)]
+pub struct PeerServer {
+    /// Mailbox of the control task.
+    pub node: flume::Sender<NodeMessage>,
+}
+
+/// Accepts connections of other VMs and of the command-line tool.
+pub async fn accept(listener: TcpListener, server: PeerServer) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            compio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Without it small answers would wait for the other side's receipt.
+        let _ = stream.set_nodelay(true);
+        let channel = BaseChannel::with_defaults(transport(stream));
+        let requests = channel.execute(server.clone().serve());
+        compio::runtime::spawn(spawn_each(requests)).detach();
+    }
+}
+
+impl PeerServer {
+    async fn ask<T>(&self, message: impl FnOnce(oneshot::Sender<T>) -> NodeMessage) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.node.send(message(reply)).ok()?;
+        answer.await.ok()
+    }
+}
+
+impl Peer for PeerServer {
+    async fn ping(self, _: Context, ping: Ping) -> Option<Pong> {
+        self.ask(|reply| NodeMessage::Ping { ping, reply }).await
+    }
+
+    async fn probe(self, _: Context, vm: Name) -> bool {
+        let answer = self.ask(|reply| NodeMessage::ProbeFor { vm, reply }).await;
+        answer.unwrap_or(false)
+    }
+
+    async fn push(self, _: Context, news: News) -> Option<u64> {
+        let news = Box::new(news);
+        let answer = self.ask(|reply| NodeMessage::News { news, reply }).await;
+        answer.flatten()
+    }
+
+    async fn changes(self, _: Context, after: u64) -> Option<(Head, Vec<SiteChange>)> {
+        let answer = self
+            .ask(|reply| NodeMessage::ChangesAfter { after, reply })
+            .await;
+        answer.flatten()
+    }
+
+    async fn site(self, _: Context) -> Option<WholeSite> {
+        let answer = self.ask(|reply| NodeMessage::Site { reply }).await;
+        answer.flatten()
+    }
+
+    async fn row(self, _: Context, service: Name) -> Option<Row<ServiceRow>> {
+        let answer = self.ask(|reply| NodeMessage::Row { service, reply }).await;
+        answer.flatten()
+    }
+
+    async fn row_changed(self, _: Context, service: Name, row: Row<ServiceRow>) {
+        // A stopped control task needs no rows.
+        let _ = self.node.send(NodeMessage::RowHeard { service, row });
+    }
+
+    async fn reaches_primary(self, _: Context, service: Name, member: Name) -> bool {
+        let answer = self
+            .ask(|reply| NodeMessage::ReachesPrimary {
+                service,
+                member,
+                reply,
+            })
+            .await;
+        answer.unwrap_or(false)
+    }
+
+    async fn status(self, _: Context) -> Option<VmStatus> {
+        self.ask(|reply| NodeMessage::Status { reply }).await
+    }
+
+    async fn order_failover(self, _: Context, service: Name, member: Name) -> OrderAnswer {
+        let answer = self
+            .ask(|reply| NodeMessage::OrderFailover {
+                service,
+                member,
+                reply,
+            })
+            .await;
+        answer.unwrap_or_else(|| OrderAnswer::Refused("the VM is stopping".into()))
+    }
+
+    async fn drain(self, _: Context) -> OrderAnswer {
+        match self.node.send(NodeMessage::Drain) {
+            Ok(()) => OrderAnswer::Accepted,
+            Err(_) => OrderAnswer::Refused("the VM is stopping".into()),
+        }
+    }
+}
--- /dev/null
+++ b/src/control/service_row.rs
@@ -0,0 +1,64 @@
+//! The row of a service in the table.
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// Terms that one write of the row reserves.
+pub const RESERVED_TERMS: u64 = 16;
+
+/// A slot and its holder.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotRow {
+    /// VM that holds it.
+    pub vm: Option<Name>,
+    /// Raised whenever the holder changes.
+    pub generation: u64,
+}
+
+/// The row of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRow {
+    /// VM that watches the primary and orders promotions.
+    pub delegate: Option<Name>,
+    /// Term of the last promotion.
+    pub term: u64,
+    /// Member promoted last.
+    pub primary: Option<Name>,
+    /// First term reserved for the delegate.
+    pub reserved_from: u64,
+    /// First term that is not reserved for anyone yet.
+    pub reserved_until: u64,
+    /// Slots.
+    pub slots: Vec<SlotRow>,
+}
+
+impl ServiceRow {
+    /// Reserves a block of terms above `highest` and above every earlier block.
+    pub fn reserve(&mut self, highest: u64) {
+        self.reserved_from = self.reserved_until.max(highest + 1).max(self.term + 1);
+        self.reserved_until = self.reserved_from + RESERVED_TERMS;
+    }
+
+    /// Holders by slot.
+    pub fn holders(&self) -> Vec<Option<Name>> {
+        self.slots.iter().map(|slot| slot.vm.clone()).collect()
+    }
+
+    /// Sets the holders; a slot whose holder changes gets a new generation.
+    pub fn set_holders(&mut self, holders: &[Option<Name>]) {
+        self.slots.resize(holders.len(), SlotRow::default());
+        for (slot, holder) in self.slots.iter_mut().zip(holders) {
+            if slot.vm != *holder {
+                slot.vm = holder.clone();
+                slot.generation += 1;
+            }
+        }
+    }
+
+    /// Whether a VM holds a slot.
+    pub fn is_holder(&self, vm: &str) -> bool {
+        let mut holders = self.slots.iter().filter_map(|s| s.vm.as_deref());
+        holders.any(|holder| holder == vm)
+    }
+}
--- /dev/null
+++ b/src/decide/acknowledge.rs
@@ -0,0 +1,85 @@
+//! When a commit may be acknowledged.
+
+use serde::{Deserialize, Serialize};
+
+use super::member::MemberView;
+use crate::prelude::*;
+
+/// What must be known before a commit is acknowledged.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    strum::Display,
+    strum::EnumString,
+    Serialize,
+    Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum Acknowledge {
+    /// A majority of the members holds the commit in the same term.
+    #[default]
+    Majority,
+    /// A majority of the members still stands by the term.
+    Term,
+    /// Nothing: the primary's answer is enough.
+    Primary,
+}
+
+/// Decision for a commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Decision {
+    /// Tell the caller that it is done.
+    Acknowledge,
+    /// Wait for more reports.
+    Wait,
+    /// The term is over: the outcome is not known.
+    Unknown,
+}
+
+/// A commit that waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Commit {
+    /// Its position.
+    pub position: Position,
+    /// Index of the primary that ran it.
+    pub primary: usize,
+    /// Time the primary answered, in milliseconds.
+    pub answered_ms: u64,
+}
+
+/// Decides whether a commit may be acknowledged.
+///
+/// A confirmation in the commit's own term is final: the promotion to any
+/// later term chooses a member that holds the commit, because it hears from
+/// a majority and takes the most advanced.
+pub fn acknowledge(mode: Acknowledge, commit: &Commit, members: &[MemberView]) -> Decision {
+    if mode == Acknowledge::Primary {
+        return Decision::Acknowledge;
+    }
+    let others = members
+        .iter()
+        .enumerate()
+        .filter(|(i, _)| *i != commit.primary)
+        .filter_map(|(_, m)| m.observation);
+    let confirms = |o: &super::member::Observation| match mode {
+        Acknowledge::Term => {
+            o.status.term == commit.position.term && o.asked_ms >= commit.answered_ms
+        }
+        _ => o.status.confirms(commit.position),
+    };
+    let needed = members.len() / 2;
+    if others.clone().filter(confirms).count() >= needed {
+        return Decision::Acknowledge;
+    }
+    let is_over = others.clone().any(|o| o.status.term > commit.position.term);
+    match is_over {
+        true => Decision::Unknown,
+        false => Decision::Wait,
+    }
+}
--- /dev/null
+++ b/src/decide/admission.rs
@@ -0,0 +1,114 @@
+//! Admission of requests that wait for a connection.
+
+use crate::prelude::*;
+
+/// Weight of the newest sample in the mean service time.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// Samples before the mean is trusted.
+const SAMPLES_MIN: u32 = 20;
+
+/// Answer to a request that wants to wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may wait.
+    Queue,
+    /// It would not be served in time; try again after this time.
+    Refuse {
+        /// Time after which to try again, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// A queue ordered by deadline, with an estimate of the time to serve it.
+#[derive(Debug)]
+pub struct AdmissionQueue<T> {
+    waiting: BTreeMap<(u64, u64), T>,
+    sequence: u64,
+    mean_service_us: f64,
+    samples: u32,
+    capacity: usize,
+}
+
+impl<T> AdmissionQueue<T> {
+    /// Creates an empty queue of at most `capacity` requests.
+    pub fn new(capacity: usize) -> AdmissionQueue<T> {
+        AdmissionQueue {
+            waiting: BTreeMap::new(),
+            sequence: 0,
+            mean_service_us: 0.0,
+            samples: 0,
+            capacity,
+        }
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Records how long a request held its connection, in microseconds.
+    pub fn record(&mut self, service_us: u64) {
+        let sample = service_us as f64;
+        self.samples = self.samples.saturating_add(1);
+        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
+        self.mean_service_us += (sample - self.mean_service_us) * weight;
+    }
+
+    /// Decides whether a request with `left_ms` until its deadline may wait
+    /// while `servers` connections serve the queue.
+    ///
+    /// Without servers (no primary) only the length bounds the queue: the
+    /// time until there is one is not known.
+    pub fn admit(&self, left_ms: u64, servers: usize) -> Admission {
+        let ahead = self.waiting.len();
+        if ahead >= self.capacity {
+            return Admission::Refuse {
+                retry_after_ms: self.drain_ms(servers).max(1),
+            };
+        }
+        if servers == 0 || self.samples < SAMPLES_MIN {
+            return Admission::Queue;
+        }
+        let wait_ms = self.drain_ms(servers);
+        match wait_ms > left_ms {
+            true => Admission::Refuse {
+                retry_after_ms: wait_ms - left_ms,
+            },
+            false => Admission::Queue,
+        }
+    }
+
+    /// Adds a request that must be served by `deadline_ms`.
+    pub fn push(&mut self, deadline_ms: u64, request: T) {
+        self.sequence += 1;
+        self.waiting.insert((deadline_ms, self.sequence), request);
+    }
+
+    /// Removes the request with the earliest deadline.
+    pub fn pop(&mut self) -> Option<T> {
+        self.waiting.pop_first().map(|(_, request)| request)
+    }
+
+    /// Removes the requests whose deadline has passed at `now_ms`.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<T> {
+        let kept = self.waiting.split_off(&(now_ms + 1, 0));
+        let expired = std::mem::replace(&mut self.waiting, kept);
+        expired.into_values().collect()
+    }
+
+    /// Takes all requests out.
+    pub fn drain(&mut self) -> Vec<T> {
+        std::mem::take(&mut self.waiting).into_values().collect()
+    }
+
+    fn drain_ms(&self, servers: usize) -> u64 {
+        let servers = servers.max(1) as f64;
+        let total_us = (self.waiting.len() + 1) as f64 * self.mean_service_us;
+        (total_us / servers / 1_000.0) as u64
+    }
+}
--- /dev/null
+++ b/src/decide/age.rs
@@ -0,0 +1,49 @@
+//! Age of a replica's data, measured on one clock.
+
+use std::collections::VecDeque;
+
+use crate::prelude::*;
+
+/// Most observations kept.
+const CAPACITY: usize = 256;
+/// Shortest time between two kept observations, in milliseconds.
+const SPACING_MS: u64 = 5;
+
+/// Remembers when the primary was seen at which position.
+#[derive(Clone, Debug, Default)]
+pub struct AgeTracker {
+    seen: VecDeque<(u64, Position)>,
+}
+
+impl AgeTracker {
+    /// Records that the primary was at `position` when asked at `asked_ms`.
+    pub fn observe(&mut self, asked_ms: u64, position: Position) {
+        let is_close = |last: &(u64, Position)| asked_ms < last.0 + SPACING_MS;
+        match self.seen.back_mut() {
+            Some(last) if last.1 == position => {
+                last.0 = asked_ms.max(last.0);
+                return;
+            }
+            Some(last) if is_close(last) => return,
+            _ => {}
+        }
+        if self.seen.len() == CAPACITY {
+            self.seen.pop_front();
+        }
+        self.seen.push_back((asked_ms, position));
+    }
+
+    /// Upper bound of the age of data at `replayed`, in milliseconds.
+    ///
+    /// Data that includes everything the primary had at a moment is at most as
+    /// old as that moment. `None` when no such moment is known.
+    pub fn age_ms(&self, replayed: Position, now_ms: u64) -> Option<u64> {
+        let covered = self.seen.iter().rev().find(|(_, p)| *p <= replayed);
+        covered.map(|(asked_ms, _)| now_ms.saturating_sub(*asked_ms))
+    }
+
+    /// Time of the newest observation, in milliseconds.
+    pub fn newest_ms(&self) -> Option<u64> {
+        self.seen.back().map(|(asked_ms, _)| *asked_ms)
+    }
+}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,16 @@
+//! Pure decisions: no I/O, no clock, no global randomness.
+//!
+//! Time, seeds and observations come in as arguments; typed actions go out.
+
+pub mod acknowledge;
+pub mod admission;
+pub mod age;
+pub mod barrier;
+pub mod classify;
+pub mod failover;
+pub mod member;
+pub mod membership;
+pub mod placement;
+pub mod retry;
+pub mod rollout;
+pub mod route;
--- /dev/null
+++ b/src/decide/placement.rs
@@ -0,0 +1,178 @@
+//! Which VM holds which slot, and which is a service's delegate.
+//!
+//! Rendezvous hashing: each VM has a score for each key, and the highest
+//! wins. A VM that joins or leaves moves only the keys it wins or won.
+
+use std::hash::Hasher;
+
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+
+use crate::prelude::*;
+
+/// A VM that may be chosen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Candidate {
+    /// Name of the VM.
+    pub vm: Name,
+    /// Availability zone.
+    pub zone: Name,
+}
+
+/// Why a VM was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// The holder lives and keeps it.
+    Kept,
+    /// Highest score in the zone of the member.
+    SameZone,
+    /// Highest score of all: no VM stands in the zone.
+    OtherZone,
+}
+
+/// Score of a VM for a key.
+pub fn score(key: &str, index: usize, vm: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(key.as_bytes());
+    hasher.write_usize(index);
+    hasher.write(vm.as_bytes());
+    hasher.finish()
+}
+
+/// VM with the highest score for a service: its guardian, which claims the
+/// service when the delegate in its row is gone.
+pub fn guardian<'a>(service: &str, vms: impl Iterator<Item = &'a Name>) -> Option<&'a Name> {
+    vms.max_by_key(|vm| score(service, usize::MAX, vm))
+}
+
+/// Chooses holders for the slots of a service.
+///
+/// `zones` gives the zone of the member that each slot stands beside,
+/// `current` the holders so far. A holder that still lives keeps its slot. A
+/// VM holds at most one slot of a service while there are enough VMs.
+pub fn place(
+    service: &str,
+    zones: &[Name],
+    current: &[Option<Name>],
+    vms: &[Candidate],
+) -> Vec<Option<(Name, Reason)>> {
+    let lives = |vm: &Name| vms.iter().any(|c| c.vm == *vm);
+    let mut taken = BTreeSet::new();
+    let mut chosen: Vec<Option<(Name, Reason)>> = vec![None; zones.len()];
+    for (slot, holder) in current.iter().enumerate().take(zones.len()) {
+        if let Some(vm) = holder.as_ref().filter(|vm| lives(vm))
+            && taken.insert(vm.clone())
+        {
+            chosen[slot] = Some((vm.clone(), Reason::Kept));
+        }
+    }
+    for (slot, zone) in zones.iter().enumerate() {
+        if chosen[slot].is_some() {
+            continue;
+        }
+        chosen[slot] = choose(service, slot, zone, vms, &taken);
+        if let Some((vm, _)) = &chosen[slot] {
+            taken.insert(vm.clone());
+        }
+    }
+    chosen
+}
+
+fn choose(
+    service: &str,
+    slot: usize,
+    zone: &Name,
+    vms: &[Candidate],
+    taken: &BTreeSet<Name>,
+) -> Option<(Name, Reason)> {
+    let best = |same_zone: bool| {
+        vms.iter()
+            .filter(|c| !taken.contains(&c.vm))
+            .filter(|c| !same_zone || c.zone == *zone)
+            .max_by_key(|c| score(service, slot, &c.vm))
+    };
+    if let Some(found) = best(true) {
+        return Some((found.vm.clone(), Reason::SameZone));
+    }
+    best(false).map(|found| (found.vm.clone(), Reason::OtherZone))
+}
+
+/// The guardian of each service, kept up to date as VMs come and go.
+///
+/// A VM that joins costs one score per service; a VM that leaves costs one
+/// score per VM for each service it guarded.
+#[derive(Clone, Debug, Default)]
+pub struct GuardianMap {
+    vms: BTreeSet<Name>,
+    services: BTreeMap<Name, Option<(u64, Name)>>,
+}
+
+impl GuardianMap {
+    /// Adds a service.
+    pub fn add_service(&mut self, service: &Name) {
+        if !self.services.contains_key(service) {
+            let best = best(service, &self.vms);
+            self.services.insert(service.clone(), best);
+        }
+    }
+
+    /// Removes the services that `keep` does not name.
+    pub fn retain_services(&mut self, keep: impl Fn(&Name) -> bool) {
+        self.services.retain(|service, _| keep(service));
+    }
+
+    /// Adds a VM.
+    pub fn add_vm(&mut self, vm: &Name) {
+        if !self.vms.insert(vm.clone()) {
+            return;
+        }
+        for (service, guardian) in &mut self.services {
+            let score = score(service, usize::MAX, vm);
+            if guardian.as_ref().is_none_or(|(best, _)| score > *best) {
+                *guardian = Some((score, vm.clone()));
+            }
+        }
+    }
+
+    /// Removes a VM.
+    pub fn remove_vm(&mut self, vm: &Name) {
+        if !self.vms.remove(vm) {
+            return;
+        }
+        for (service, guardian) in &mut self.services {
+            if guardian.as_ref().is_some_and(|(_, g)| g == vm) {
+                *guardian = best(service, &self.vms);
+            }
+        }
+    }
+
+    /// Makes the VMs equal to `vms`.
+    pub fn set_vms(&mut self, vms: &BTreeSet<Name>) {
+        let gone: Vec<Name> = self.vms.difference(vms).cloned().collect();
+        for vm in &gone {
+            self.remove_vm(vm);
+        }
+        for vm in vms {
+            self.add_vm(vm);
+        }
+    }
+
+    /// Guardian of a service.
+    pub fn guardian(&self, service: &str) -> Option<&Name> {
+        self.services.get(service)?.as_ref().map(|(_, vm)| vm)
+    }
+
+    /// Services that a VM guards.
+    pub fn guarded_by(&self, vm: &str) -> Vec<Name> {
+        let is_its =
+            |guardian: &Option<(u64, Name)>| guardian.as_ref().is_some_and(|(_, g)| **g == *vm);
+        let services = self.services.iter().filter(|(_, g)| is_its(g));
+        services.map(|(service, _)| service.clone()).collect()
+    }
+}
+
+fn best(service: &str, vms: &BTreeSet<Name>) -> Option<(u64, Name)> {
+    let vm = guardian(service, vms.iter())?;
+    Some((score(service, usize::MAX, vm), vm.clone()))
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,109 @@
+//! Metrics, read as Prometheus text on the admin listener.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::prelude::*;
+
+/// Error of the metrics exporter.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("metrics: {text}")]
+pub struct MetricsError {
+    text: String,
+}
+
+/// Result of this module.
+pub type Result<T> = std::result::Result<T, MetricsError>;
+
+/// The instruments of a daemon.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    /// Callers connected now.
+    pub callers: UpDownCounter<i64>,
+    /// Requests by class.
+    pub requests: Counter<u64>,
+    /// Reads by the kind of member that served them and why.
+    pub reads: Counter<u64>,
+    /// Requests refused, by code.
+    pub refusals: Counter<u64>,
+    /// Commits by how they ended.
+    pub commits: Counter<u64>,
+    /// Retries by outcome.
+    pub retries: Counter<u64>,
+    /// Time a request waited for a connection, in milliseconds.
+    pub queue_wait_ms: Histogram<f64>,
+    /// Time a commit waited for its confirmation, in milliseconds.
+    pub acknowledge_wait_ms: Histogram<f64>,
+    /// Promotions by outcome.
+    pub promotions: Counter<u64>,
+    /// Calls to the platform by kind and outcome.
+    pub platform_calls: Counter<u64>,
+    /// Bytes of calls between VMs, by direction.
+    pub peer_calls: Counter<u64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the exporter can't be set up.
+    pub fn new() -> Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|error| MetricsError {
+                text: error.to_string(),
+            })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("foxtailknot");
+        let counter = |name: &'static str| count(&meter, name);
+        Ok(Metrics {
+            registry,
+            callers: meter.i64_up_down_counter("foxtailknot_callers").build(),
+            requests: counter("foxtailknot_requests"),
+            reads: counter("foxtailknot_reads"),
+            refusals: counter("foxtailknot_refusals"),
+            commits: counter("foxtailknot_commits"),
+            retries: counter("foxtailknot_retries"),
+            queue_wait_ms: meter.f64_histogram("foxtailknot_queue_wait_ms").build(),
+            acknowledge_wait_ms: meter
+                .f64_histogram("foxtailknot_acknowledge_wait_ms")
+                .build(),
+            promotions: counter("foxtailknot_promotions"),
+            platform_calls: counter("foxtailknot_platform_calls"),
+            peer_calls: counter("foxtailknot_peer_calls"),
+            _provider: provider,
+        })
+    }
+
+    /// All metrics as Prometheus text.
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        // Writing to memory does not fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+fn count(meter: &Meter, name: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).build()
+}
+
+/// A label of a metric.
+pub fn label(key: &'static str, value: impl Into<&'static str>) -> KeyValue {
+    KeyValue::new(key, value.into())
+}
+
+/// A label whose value is a name from the configuration.
+pub fn name_label(key: &'static str, value: &Name) -> KeyValue {
+    KeyValue::new(key, value.clone())
+}
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,205 @@
+//! The client.
+
+use std::net::SocketAddr;
+
+use serde::{Serialize, de::DeserializeOwned};
+
+use super::{ListedVm, PlatformError, Result, Row, Written};
+use crate::prelude::*;
+
+/// Longest time of one call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Reads that try to find out whether a write took effect.
+const RESOLVE_ATTEMPTS: u32 = 3;
+/// Pause between them.
+const RESOLVE_PAUSE: Duration = Duration::from_millis(200);
+
+const OK: u16 = 200;
+const NOT_FOUND: u16 = 404;
+const CONFLICT: u16 = 409;
+
+/// Client of the platform's services.
+#[derive(Clone)]
+pub struct PlatformClient {
+    http: cyper::Client,
+    base: Arc<str>,
+}
+
+#[derive(Serialize)]
+struct WriteBody<'a, T> {
+    expect_version: u64,
+    value: &'a T,
+    change_id: &'a str,
+}
+
+struct Answer {
+    status: u16,
+    body: bytes::Bytes,
+}
+
+impl PlatformClient {
+    /// Creates a client of the platform at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP client can't be set up.
+    pub fn new(address: SocketAddr) -> Result<PlatformClient> {
+        Ok(PlatformClient {
+            http: cyper::Client::new().map_err(PlatformError::unavailable)?,
+            base: format!("http://{address}").into(),
+        })
+    }
+
+    /// Reads a row.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform does not answer.
+    pub async fn read<T: DeserializeOwned>(&self, key: &str) -> Result<Option<Row<T>>> {
+        let answer = self.get(&format!("table/{key}")).await?;
+        match answer.status {
+            NOT_FOUND => Ok(None),
+            _ => answer.json().map(Some),
+        }
+    }
+
+    /// Reads the rows whose keys start with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform does not answer.
+    pub async fn list<T: DeserializeOwned>(&self, prefix: &str) -> Result<BTreeMap<Name, Row<T>>> {
+        self.get(&format!("tables?prefix={prefix}")).await?.json()
+    }
+
+    /// Writes a row if it still has `expect_version`; zero means no row.
+    ///
+    /// A lost answer is resolved by reading the row and comparing change ids.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError::Unknown`] when that does not tell.
+    pub async fn write<T: Serialize + DeserializeOwned>(
+        &self,
+        key: &str,
+        expect_version: u64,
+        value: &T,
+        change_id: &str,
+    ) -> Result<Written<T>> {
+        let body = WriteBody {
+            expect_version,
+            value,
+            change_id,
+        };
+        let body = serde_json::to_vec(&body).map_err(bad_answer)?;
+        let error = match self.put(&format!("table/{key}"), body).await {
+            Ok(answer) if answer.status == CONFLICT => {
+                return Ok(Written::Conflict(answer.json()?));
+            }
+            Ok(answer) => return Ok(Written::Done(answer.json::<Row<T>>()?.version)),
+            Err(error) => error,
+        };
+        self.resolve(key, expect_version, change_id, &error).await
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform does not answer.
+    pub async fn read_object(&self, digest: &str) -> Result<Option<bytes::Bytes>> {
+        let answer = self.get(&format!("objects/{digest}")).await?;
+        Ok((answer.status == OK).then_some(answer.body))
+    }
+
+    /// Writes an object under its digest; writing it twice is idempotent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform does not answer.
+    pub async fn write_object(&self, digest: &str, body: Vec<u8>) -> Result<()> {
+        self.put(&format!("objects/{digest}"), body).await?;
+        Ok(())
+    }
+
+    /// Lists the VMs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform does not answer.
+    pub async fn list_vms(&self) -> Result<Vec<ListedVm>> {
+        self.get("vms").await?.json()
+    }
+
+    async fn resolve<T: DeserializeOwned>(
+        &self,
+        key: &str,
+        expect_version: u64,
+        change_id: &str,
+        error: &PlatformError,
+    ) -> Result<Written<T>> {
+        for _ in 0..RESOLVE_ATTEMPTS {
+            compio::time::sleep(RESOLVE_PAUSE).await;
+            let Ok(row) = self.read::<T>(key).await else {
+                continue;
+            };
+            let version = row.as_ref().map_or(0, |row| row.version);
+            let is_ours = row.as_ref().is_some_and(|row| &*row.change_id == change_id);
+            if is_ours {
+                return Ok(Written::Done(version));
+            }
+            if version == expect_version + 1 {
+                return Ok(Written::Conflict(row));
+            }
+            // At the old version the write may still be on its way; at a
+            // later one it may have been made and written over.
+        }
+        Err(PlatformError::Unknown {
+            text: error.to_string(),
+        })
+    }
+
+    async fn get(&self, path: &str) -> Result<Answer> {
+        let url = format!("{}/{path}", self.base);
+        let request = self.http.get(url).map_err(PlatformError::unavailable)?;
+        self.send(request).await
+    }
+
+    async fn put(&self, path: &str, body: Vec<u8>) -> Result<Answer> {
+        let url = format!("{}/{path}", self.base);
+        let request = self.http.put(url).map_err(PlatformError::unavailable)?;
+        let request = request
+            .header("content-type", "application/json")
+            .map_err(PlatformError::unavailable)?;
+        self.send(request.body(body)).await
+    }
+
+    async fn send(&self, request: cyper::RequestBuilder) -> Result<Answer> {
+        let call = async {
+            let response = request.send().await?;
+            let status = response.status().as_u16();
+            let body = response.bytes().await?;
+            Ok::<_, cyper::Error>(Answer { status, body })
+        };
+        let answer = compio::time::timeout(CALL_TIMEOUT, call)
+            .await
+            .map_err(|_| PlatformError::unavailable("no answer in time"))?
+            .map_err(PlatformError::unavailable)?;
+        match answer.status {
+            OK | NOT_FOUND | CONFLICT => Ok(answer),
+            status => Err(PlatformError::unavailable(format!("status {status}"))),
+        }
+    }
+}
+
+impl Answer {
+    fn json<T: DeserializeOwned>(&self) -> Result<T> {
+        serde_json::from_slice(&self.body).map_err(bad_answer)
+    }
+}
+
+fn bad_answer(error: serde_json::Error) -> PlatformError {
+    PlatformError::BadAnswer {
+        text: error.to_string(),
+    }
+}
--- /dev/null
+++ b/src/platform/error.rs
@@ -0,0 +1,46 @@
+//! Errors of the platform's client.
+
+use crate::prelude::*;
+
+/// Why a call to the platform failed.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+pub enum PlatformError {
+    /// It did not answer; nothing was changed by a read.
+    #[display("the platform does not answer: {text}")]
+    Unavailable {
+        /// Detail.
+        text: String,
+    },
+    /// A write got no answer and re-reading did not tell either.
+    #[display("it is not known whether the platform made the change: {text}")]
+    Unknown {
+        /// Detail.
+        text: String,
+    },
+    /// An answer can't be read.
+    #[display("the platform's answer can't be read: {text}")]
+    BadAnswer {
+        /// Detail.
+        text: String,
+    },
+}
+
+/// Result of this module.
+pub type Result<T> = std::result::Result<T, PlatformError>;
+
+impl PlatformError {
+    /// The numbered code.
+    pub fn code(&self) -> Code {
+        match self {
+            PlatformError::Unknown { .. } => Code::PlatformUnknown,
+            _ => Code::PlatformUnavailable,
+        }
+    }
+
+    /// An error of a call that got no usable answer.
+    pub fn unavailable(text: impl ToString) -> PlatformError {
+        PlatformError::Unavailable {
+            text: text.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/connect.rs
@@ -0,0 +1,112 @@
+//! Opening connections to endpoints and to other VMs.
+
+use std::net::SocketAddr;
+
+use bytes::BytesMut;
+use compio::net::TcpStream;
+use pgwire::messages::startup::{Authentication, BackendKeyData, SecretKey, Startup};
+
+use super::{
+    error::{ProxyError, Result},
+    frame::from_endpoint as tag,
+    link::{Link, LinkTarget, Permit},
+    message,
+    wire::Wire,
+};
+use crate::prelude::*;
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Largest message from an endpoint that is held whole, in bytes.
+const FRAME_MAX_BYTES: usize = 1 << 30;
+/// Name that foxtailknot gives itself at endpoints.
+pub const APPLICATION_NAME: &str = "foxtailknot";
+
+/// Whom to connect as, and where.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Address.
+    pub address: SocketAddr,
+    /// User.
+    pub user: Name,
+    /// Database.
+    pub database: Name,
+    /// What the connection leads to.
+    pub link_target: LinkTarget,
+}
+
+/// Opens a connection.
+///
+/// # Errors
+///
+/// Returns an error when nobody answers or the other side refuses.
+pub async fn connect(target: Target, permit: Option<Permit>) -> Result<Link> {
+    let opened = compio::time::timeout(CONNECT_TIMEOUT, open(target, permit)).await;
+    opened.map_err(|_| ProxyError::Timeout)?
+}
+
+async fn open(target: Target, permit: Option<Permit>) -> Result<Link> {
+    let stream = TcpStream::connect(target.address).await?;
+    stream.set_nodelay(true)?;
+    let mut wire = Wire::new(stream, FRAME_MAX_BYTES);
+    put_startup(wire.output(), &target);
+    wire.flush().await?;
+    let mut key = (0, 0);
+    loop {
+        let frame = wire.next_frame().await?;
+        match frame.tag() {
+            tag::AUTHENTICATION => match message::read::<Authentication>(&frame)? {
+                Authentication::Ok => {}
+                other => {
+                    let text = format!("unsupported authentication {other:?}");
+                    return Err(ProxyError::Refused { text });
+                }
+            },
+            tag::ERROR => {
+                let (state, text) = message::error_fields(&frame);
+                let text = format!("{state} {text}");
+                return Err(ProxyError::Refused { text });
+            }
+            tag::KEY_DATA => {
+                let data: BackendKeyData = message::read(&frame)?;
+                key = (data.pid, secret(&data.secret_key));
+            }
+            tag::READY => break,
+            _ => {}
+        }
+    }
+    Ok(Link {
+        wire,
+        address: target.address,
+        target: target.link_target,
+        prepared: BTreeSet::new(),
+        unnamed: None,
+        parameters: Arc::default(),
+        key,
+        permit,
+    })
+}
+
+fn put_startup(output: &mut BytesMut, target: &Target) {
+    let mut startup = Startup::new();
+    let mut put = |name: &str, value: &str| {
+        startup.parameters.insert(name.to_owned(), value.to_owned());
+    };
+    put("user", &target.user);
+    put("database", &target.database);
+    put("application_name", APPLICATION_NAME);
+    message::put(output, &startup);
+}
+
+/// A secret of four bytes as a number.
+pub fn secret(key: &SecretKey) -> i32 {
+    match key {
+        SecretKey::I32(number) => *number,
+        SecretKey::Bytes(bytes) => {
+            let mut four = [0; 4];
+            let count = bytes.len().min(4);
+            four[..count].copy_from_slice(&bytes[..count]);
+            i32::from_be_bytes(four)
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/context.rs
@@ -0,0 +1,80 @@
+//! What every caller's task shares.
+
+use std::rc::Rc;
+
+use futures::channel::oneshot;
+use tokio::sync::watch;
+
+use super::{
+    cancel::CancelRegistry,
+    error::Refusal,
+    route_table::{Route, RouteTable},
+    trunk::TrunkHandle,
+};
+use crate::{metrics::Metrics, prelude::*, settings::VmSettings};
+
+/// A question for the route to a service that the table lacks.
+pub struct Locate {
+    /// Name of the service.
+    pub service: Name,
+    /// Whether what is known has just failed.
+    pub is_stale: bool,
+    /// Answer: set once the table has been looked at again.
+    pub reply: oneshot::Sender<()>,
+}
+
+/// What every caller's task shares.
+#[derive(Clone)]
+pub struct Context {
+    /// Settings of this VM.
+    pub settings: Arc<VmSettings>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Routes as published last.
+    pub routes: watch::Receiver<Rc<RouteTable>>,
+    /// Asks the control task for a route.
+    pub locate: flume::Sender<Locate>,
+    /// Connections to slots on other VMs.
+    pub trunks: TrunkHandle,
+    /// Set once the VM is stopping.
+    pub draining: watch::Receiver<bool>,
+    /// Requests that can be cancelled.
+    pub cancels: CancelRegistry,
+}
+
+impl Context {
+    /// Route to a service.
+    pub fn route(&self, service: &str) -> Option<Route> {
+        self.routes.borrow().get(service).cloned()
+    }
+
+    /// Route to a service that can be reached, asking for it once if needed.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the service is not configured.
+    pub async fn locate(&self, service: &Name, is_stale: bool) -> Result<Route, Refusal> {
+        let is_reachable = |r: &Route| r.slot.is_some() || !r.holders.is_empty();
+        if let Some(route) = self.route(service).filter(|r| is_reachable(r) && !is_stale) {
+            return Ok(route);
+        }
+        let (reply, answer) = oneshot::channel();
+        let question = Locate {
+            service: service.clone(),
+            is_stale,
+            reply,
+        };
+        // Without an answer the table stays as it is.
+        let _ = self.locate.send(question);
+        let _ = answer.await;
+        self.route(service).ok_or_else(|| {
+            let text = format!("service {service:?} is not configured");
+            Refusal::new(Code::UnknownService, text)
+        })
+    }
+
+    /// Whether the VM is stopping.
+    pub fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+}
--- /dev/null
+++ b/src/proxy/link.rs
@@ -0,0 +1,71 @@
+//! Connections that requests borrow: to a member, or to a slot on another VM.
+
+use std::net::SocketAddr;
+
+use super::{session::Parameters, wire::Wire};
+use crate::prelude::*;
+
+/// Prepared statements after which a connection is not reused.
+const PREPARED_MAX: usize = 1_000;
+
+/// Where a connection leads.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LinkTarget {
+    /// To a member, opened or chosen while it stood in this term.
+    Member {
+        /// Index of the member.
+        member: usize,
+        /// Term of the member when the connection was lent.
+        term: u64,
+    },
+    /// To another VM that holds a slot.
+    Vm {
+        /// Name of the VM.
+        vm: Name,
+    },
+}
+
+/// Gives a connection's place back when the connection is dropped.
+pub struct Permit(Option<Box<dyn FnOnce()>>);
+
+impl Permit {
+    /// Creates a permit that runs `give_back` when dropped.
+    pub fn new(give_back: impl FnOnce() + 'static) -> Permit {
+        Permit(Some(Box::new(give_back)))
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some(give_back) = self.0.take() {
+            give_back();
+        }
+    }
+}
+
+/// A connection with what is known of its state.
+pub struct Link {
+    /// The socket.
+    pub wire: Wire,
+    /// Where it leads.
+    pub target: LinkTarget,
+    /// Address it leads to.
+    pub address: SocketAddr,
+    /// Statements it knows by key.
+    pub prepared: BTreeSet<Name>,
+    /// Key of the statement it knows as the unnamed one.
+    pub unnamed: Option<Name>,
+    /// Parameters set on it.
+    pub parameters: Parameters,
+    /// Process id and secret for cancel requests.
+    pub key: (i32, i32),
+    /// Place in the budget.
+    pub permit: Option<Permit>,
+}
+
+impl Link {
+    /// Whether it may serve another request.
+    pub fn is_reusable(&self) -> bool {
+        self.prepared.len() < PREPARED_MAX && !self.wire.is_stale()
+    }
+}
--- /dev/null
+++ b/src/proxy/session.rs
@@ -0,0 +1,157 @@
+//! State of a caller that is carried between connections.
+
+use super::{error::Refusal, prepared::Prepared};
+use crate::{
+    decide::{classify::Class, route::Floor},
+    prelude::*,
+    token,
+};
+
+/// Parameters that are carried between connections.
+pub type Parameters = Arc<BTreeMap<String, String>>;
+
+/// Prefix of foxtailknot's own parameters.
+pub const OWN_PREFIX: &str = "foxtailknot.";
+/// Parameter that carries the session's position.
+pub const TOKEN_PARAMETER: &str = "foxtailknot.session_token";
+/// Token of a session that may have written anywhere.
+pub const UNKNOWN_TOKEN: &str = "unknown";
+
+const MAX_AGE_PARAMETER: &str = "foxtailknot.max_age_ms";
+const IDEMPOTENT_PARAMETER: &str = "foxtailknot.idempotent";
+
+/// Parameters of the database that are set again on each connection.
+const CARRIED: &[&str] = &[
+    "application_name",
+    "bytea_output",
+    "client_min_messages",
+    "datestyle",
+    "extra_float_digits",
+    "idle_in_transaction_session_timeout",
+    "intervalstyle",
+    "lock_timeout",
+    "search_path",
+    "standard_conforming_strings",
+    "statement_timeout",
+    "timezone",
+];
+
+/// State of a caller.
+#[derive(Clone, Debug)]
+pub struct Session {
+    /// Service that the caller uses.
+    pub service: Name,
+    /// Position that its reads must see.
+    pub floor: Floor,
+    /// Oldest data it accepts, in milliseconds.
+    pub max_age_ms: Option<u64>,
+    /// Whether its writes may be repeated.
+    pub is_idempotent: bool,
+    /// Parameters set on each connection it uses.
+    pub parameters: Parameters,
+    /// Named prepared statements.
+    pub statements: BTreeMap<String, Prepared>,
+    /// The unnamed prepared statement.
+    pub unnamed: Option<Prepared>,
+    /// Classes of open portals.
+    pub portals: BTreeMap<String, Class>,
+}
+
+impl Session {
+    /// Starts a session whose position is not known.
+    pub fn new(service: Name) -> Session {
+        Session {
+            service,
+            floor: Floor::Unknown,
+            max_age_ms: None,
+            is_idempotent: false,
+            parameters: Parameters::default(),
+            statements: BTreeMap::new(),
+            unnamed: None,
+            portals: BTreeMap::new(),
+        }
+    }
+
+    /// The session's token.
+    pub fn token(&self) -> String {
+        match self.floor {
+            Floor::Known(position) => token::encode(&self.service, position),
+            Floor::Unknown => UNKNOWN_TOKEN.into(),
+        }
+    }
+
+    /// Records that the session has reached `position`; `true` if its token changes.
+    pub fn reach(&mut self, position: Position) -> bool {
+        let before = self.floor;
+        match &mut self.floor {
+            Floor::Known(known) => *known = position.max(*known),
+            Floor::Unknown => self.floor = Floor::Known(position),
+        }
+        self.floor != before
+    }
+
+    /// Sets one of foxtailknot's parameters.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal for an unknown name or a bad value.
+    pub fn set_own(&mut self, name: &str, value: &str) -> Result<(), Refusal> {
+        let bad = || {
+            Refusal::new(
+                Code::BadParameter,
+                format!("bad value {value:?} for {name}"),
+            )
+        };
+        match name {
+            TOKEN_PARAMETER if value == UNKNOWN_TOKEN => self.floor = Floor::Unknown,
+            TOKEN_PARAMETER => {
+                let position = token::decode(&self.service, value)
+                    .map_err(|error| Refusal::new(Code::BadToken, error.to_string()))?;
+                self.floor = Floor::Known(position);
+            }
+            MAX_AGE_PARAMETER if value.is_empty() => self.max_age_ms = None,
+            MAX_AGE_PARAMETER => self.max_age_ms = Some(value.parse().map_err(|_| bad())?),
+            IDEMPOTENT_PARAMETER => self.is_idempotent = parse_bool(value).ok_or_else(bad)?,
+            _ => {
+                let text = format!("unknown parameter {name}");
+                return Err(Refusal::new(Code::BadParameter, text));
+            }
+        }
+        Ok(())
+    }
+
+    /// Value of one of foxtailknot's parameters.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal for an unknown name.
+    pub fn show_own(&self, name: &str) -> Result<String, Refusal> {
+        match name {
+            TOKEN_PARAMETER => Ok(self.token()),
+            MAX_AGE_PARAMETER => Ok(self.max_age_ms.map(|ms| ms.to_string()).unwrap_or_default()),
+            IDEMPOTENT_PARAMETER => Ok(if self.is_idempotent { "on" } else { "off" }.into()),
+            _ => {
+                let text = format!("unknown parameter {name}");
+                Err(Refusal::new(Code::BadParameter, text))
+            }
+        }
+    }
+
+    /// Remembers a parameter of the database, if it is one that is carried.
+    pub fn carry(&mut self, name: &str, value: &str) -> bool {
+        let name = name.to_lowercase();
+        if !CARRIED.contains(&name.as_str()) {
+            return false;
+        }
+        Arc::make_mut(&mut self.parameters).insert(name, value.to_owned());
+        true
+    }
+}
+
+fn parse_bool(value: &str) -> Option<bool> {
+    match value.to_lowercase().as_str() {
+        "on" | "true" | "1" | "yes" => Some(true),
+        "off" | "false" | "0" | "no" => Some(false),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/proxy/trunk.rs
@@ -0,0 +1,161 @@
+//! Connections to slots on other VMs, kept for reuse.
+
+use std::net::SocketAddr;
+
+use futures::channel::oneshot;
+
+use super::{
+    connect::{Target, connect},
+    error::Refusal,
+    link::{Link, LinkTarget, Permit},
+};
+use crate::prelude::*;
+
+/// Most connections to one VM for one service.
+const OPEN_MAX: usize = 256;
+/// Most idle connections kept to one VM for one service.
+const IDLE_MAX: usize = 32;
+
+/// Key of a group of connections: service and VM.
+type Key = (Name, Name);
+
+enum TrunkMessage {
+    Acquire {
+        service: Name,
+        vm: Name,
+        address: SocketAddr,
+        reply: oneshot::Sender<Result<Link, Refusal>>,
+    },
+    Release {
+        service: Name,
+        link: Link,
+    },
+    Closed(Key),
+}
+
+#[derive(Default)]
+struct Group {
+    idle: Vec<Link>,
+    open: usize,
+}
+
+/// Handle to the task that keeps the connections.
+#[derive(Clone)]
+pub struct TrunkHandle {
+    sender: flume::Sender<TrunkMessage>,
+}
+
+impl TrunkHandle {
+    /// Starts the task.
+    pub fn start() -> TrunkHandle {
+        let (sender, mailbox) = flume::unbounded();
+        let handle = TrunkHandle { sender };
+        compio::runtime::spawn(run(handle.clone(), mailbox)).detach();
+        handle
+    }
+
+    /// Borrows a connection to the slot of `service` on `vm`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the VM can't be reached.
+    pub async fn acquire(
+        &self,
+        service: &Name,
+        vm: &Name,
+        address: SocketAddr,
+    ) -> Result<Link, Refusal> {
+        let (reply, answer) = oneshot::channel();
+        let message = TrunkMessage::Acquire {
+            service: service.clone(),
+            vm: vm.clone(),
+            address,
+            reply,
+        };
+        let gone = || Refusal::new(Code::Stopping, "this VM is stopping");
+        self.sender.send(message).map_err(|_| gone())?;
+        answer.await.map_err(|_| gone())?
+    }
+
+    /// Gives a connection back in a clean state.
+    pub fn release(&self, service: &Name, link: Link) {
+        // A stopped task drops the connection.
+        let _ = self.sender.send(TrunkMessage::Release {
+            service: service.clone(),
+            link,
+        });
+    }
+}
+
+async fn run(handle: TrunkHandle, mailbox: flume::Receiver<TrunkMessage>) {
+    let mut groups: BTreeMap<Key, Group> = BTreeMap::new();
+    while let Ok(message) = mailbox.recv_async().await {
+        match message {
+            TrunkMessage::Acquire {
+                service,
+                vm,
+                address,
+                reply,
+            } => {
+                let key = (service, vm);
+                let group = groups.entry(key.clone()).or_default();
+                acquire(&handle, group, key, address, reply);
+            }
+            TrunkMessage::Release { service, link } => {
+                let LinkTarget::Vm { vm } = &link.target else {
+                    continue;
+                };
+                let group = groups.entry((service, vm.clone())).or_default();
+                if group.idle.len() < IDLE_MAX && link.is_reusable() {
+                    group.idle.push(link);
+                }
+            }
+            TrunkMessage::Closed(key) => {
+                if let Some(group) = groups.get_mut(&key) {
+                    group.open = group.open.saturating_sub(1);
+                }
+                groups.retain(|_, group| group.open > 0);
+            }
+        }
+    }
+}
+
+fn acquire(
+    handle: &TrunkHandle,
+    group: &mut Group,
+    key: Key,
+    address: SocketAddr,
+    reply: oneshot::Sender<Result<Link, Refusal>>,
+) {
+    while let Some(link) = group.idle.pop() {
+        if link.address == address && link.is_reusable() {
+            // The caller may have gone away.
+            let _ = reply.send(Ok(link));
+            return;
+        }
+    }
+    if group.open >= OPEN_MAX {
+        let refusal = Refusal::new(Code::Overloaded, "too many connections to the slot");
+        let _ = reply.send(Err(refusal));
+        return;
+    }
+    group.open += 1;
+    let (service, vm) = key.clone();
+    let sender = handle.sender.clone();
+    let permit = Permit::new(move || {
+        let _ = sender.send(TrunkMessage::Closed(key));
+    });
+    let target = Target {
+        address,
+        user: "foxtailknot".into(),
+        database: service,
+        link_target: LinkTarget::Vm { vm: vm.clone() },
+    };
+    compio::runtime::spawn(async move {
+        let link = connect(target, Some(permit)).await.map_err(|error| {
+            Refusal::new(Code::NoSlot, format!("VM {vm} can't be reached: {error}"))
+        });
+        let _ = reply.send(link);
+    })
+    .detach();
+}
--- /dev/null
+++ b/src/proxy/watch.rs
@@ -0,0 +1,95 @@
+//! Asks one member for its report, on a connection of its own.
+
+use super::{
+    connect::{Target, connect},
+    error::{ProxyError, Result},
+    frame::from_endpoint as tag,
+    link::Link,
+    message,
+};
+use crate::{
+    clock,
+    decide::member::{MemberStatus, Observation},
+    prelude::*,
+};
+
+/// Longest wait for a report.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(700);
+/// Question for a report.
+const STATUS_SQL: &str = "SELECT dbgroup_status()";
+
+/// Answers each question that comes through `asks`; several at once get one answer.
+///
+/// `tell` gets the observation, or `None` when the member did not answer.
+pub async fn watch(
+    target: Target,
+    asks: flume::Receiver<()>,
+    tell: impl Fn(u64, Option<Observation>),
+) {
+    let mut link = None;
+    while asks.recv_async().await.is_ok() {
+        asks.drain();
+        let asked_ms = clock::now_ms();
+        let status = compio::time::timeout(STATUS_TIMEOUT, ask(&mut link, &target)).await;
+        let answered_ms = clock::now_ms();
+        let observation = match status {
+            Ok(Ok(status)) => Some(Observation {
+                status,
+                asked_ms,
+                answered_ms,
+            }),
+            _ => {
+                link = None;
+                None
+            }
+        };
+        tell(asked_ms, observation);
+    }
+}
+
+async fn ask(link: &mut Option<Link>, target: &Target) -> Result<MemberStatus> {
+    if link.as_ref().is_some_and(|l| l.wire.is_stale()) {
+        *link = None;
+    }
+    if link.is_none() {
+        *link = Some(connect(target.clone(), None).await?);
+    }
+    let link = link.as_mut().ok_or(ProxyError::Closed)?;
+    call(link, STATUS_SQL).await
+}
+
+/// Runs a group operation that returns a report.
+///
+/// # Errors
+///
+/// Returns an error when the connection broke or the member refused.
+pub async fn call(link: &mut Link, sql: &str) -> Result<MemberStatus> {
+    message::put_query(link.wire.output(), sql);
+    link.wire.flush().await?;
+    let mut status = Err(ProxyError::protocol("no report"));
+    loop {
+        let frame = link.wire.next_frame().await?;
+        match frame.tag() {
+            tag::ROW => status = parse(&message::row_values(&frame)),
+            tag::ERROR => {
+                let (_, text) = message::error_fields(&frame);
+                status = Err(ProxyError::Refused { text });
+            }
+            tag::READY => return status,
+            _ => {}
+        }
+    }
+}
+
+fn parse(values: &[Option<String>]) -> Result<MemberStatus> {
+    let field = |i: usize| values.get(i).cloned().flatten().unwrap_or_default();
+    let bad = |name: &str| ProxyError::protocol(format!("bad {name} in a report"));
+    Ok(MemberStatus {
+        role: field(0).parse().map_err(|_| bad("role"))?,
+        term: field(1).parse().map_err(|_| bad("term"))?,
+        synced_term: field(2).parse().map_err(|_| bad("synced term"))?,
+        received_lsn: field(3).parse().map_err(|_| bad("position"))?,
+        replayed_lsn: field(4).parse().map_err(|_| bad("position"))?,
+        primary_seen_ms: field(5).parse().map_err(|_| bad("time"))?,
+    })
+}
--- /dev/null
+++ b/src/settings/file.rs
@@ -0,0 +1,49 @@
+//! Reading a base file and its overlays.
+
+use std::path::{Path, PathBuf};
+
+use garde::Validate;
+use serde::de::DeserializeOwned;
+
+use super::{Result, SettingsError, SitePart, SiteSettings, VmPart, VmSettings};
+
+/// Reads the settings of a VM.
+///
+/// # Errors
+///
+/// Returns an error with file, line and column, or with the key at fault.
+pub fn read_vm(base: &Path, overlays: &[PathBuf]) -> Result<VmSettings> {
+    let mut part: VmPart = read(base)?;
+    for overlay in overlays {
+        part.overlay_deep(read(overlay)?);
+    }
+    VmSettings::build(&part)
+}
+
+/// Reads the configuration of a site.
+///
+/// # Errors
+///
+/// Returns an error with file, line and column, or with the key at fault.
+pub fn read_site(base: &Path, overlays: &[PathBuf]) -> Result<SiteSettings> {
+    let mut part: SitePart = read(base)?;
+    for overlay in overlays {
+        part.overlay_deep(read(overlay)?);
+    }
+    SiteSettings::build(&part)
+}
+
+fn read<T>(path: &Path) -> Result<T>
+where
+    T: DeserializeOwned + Validate,
+    T::Context: Default,
+{
+    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+        path: path.into(),
+        source,
+    })?;
+    serde_saphyr::from_str_valid(&text).map_err(|error| SettingsError::Invalid {
+        path: path.into(),
+        text: error.to_string(),
+    })
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,17 @@
+//! What operators write: settings of a VM, and the configuration of a site as
+//! a base file with overlays.
+
+mod error;
+mod file;
+mod member;
+mod part;
+mod service;
+mod site;
+mod vm;
+
+pub use error::{Result, SettingsError};
+pub use file::{read_site, read_vm};
+pub use member::{MemberPart, MemberSettings};
+pub use service::{ServicePart, ServiceSettings};
+pub use site::{SitePart, SiteSettings};
+pub use vm::{Authentication, ListenPart, LogPart, VmPart, VmSettings};
--- /dev/null
+++ b/src/token.rs
@@ -0,0 +1,75 @@
+//! Session tokens: a caller's position, carried between proxies by the caller.
+
+use std::hash::Hasher;
+
+use siphasher::sip::SipHasher24;
+
+use crate::prelude::*;
+
+/// Version prefix of the token format.
+const PREFIX: &str = "fk1";
+/// Token of a session that has written nothing yet.
+pub const NEW_SESSION: &str = "new";
+
+/// Reason to refuse a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum TokenError {
+    /// The text has another format.
+    #[display("the session token has a bad format")]
+    Format,
+    /// The checksum differs.
+    #[display("the session token has a bad checksum")]
+    Checksum,
+    /// It belongs to another service.
+    #[display("the session token belongs to another service")]
+    Service,
+}
+
+/// Result of this module.
+pub type Result<T> = std::result::Result<T, TokenError>;
+
+/// Writes the token of a position.
+pub fn encode(service: &str, position: Position) -> String {
+    let check = checksum(service, position);
+    let Position { term, lsn } = position;
+    format!("{PREFIX}.{service}.{term}.{:x}.{check:016x}", lsn.0)
+}
+
+/// Reads a token that a caller presents for `service`.
+///
+/// # Errors
+///
+/// Returns an error when the format, the checksum or the service is wrong.
+pub fn decode(service: &str, text: &str) -> Result<Position> {
+    if text == NEW_SESSION {
+        return Ok(Position::default());
+    }
+    let mut parts = text.rsplitn(4, '.');
+    let check = parts.next().ok_or(TokenError::Format)?;
+    let lsn = parts.next().ok_or(TokenError::Format)?;
+    let term = parts.next().ok_or(TokenError::Format)?;
+    let head = parts.next().ok_or(TokenError::Format)?;
+    let (prefix, named) = head.split_once('.').ok_or(TokenError::Format)?;
+    if prefix != PREFIX {
+        return Err(TokenError::Format);
+    }
+    let check = u64::from_str_radix(check, 16).map_err(|_| TokenError::Format)?;
+    let lsn = u64::from_str_radix(lsn, 16).map_err(|_| TokenError::Format)?;
+    let term = term.parse().map_err(|_| TokenError::Format)?;
+    let position = Position::new(term, Lsn(lsn));
+    if check != checksum(named, position) {
+        return Err(TokenError::Checksum);
+    }
+    if named != service {
+        return Err(TokenError::Service);
+    }
+    Ok(position)
+}
+
+fn checksum(service: &str, position: Position) -> u64 {
+    let mut hasher = SipHasher24::new();
+    hasher.write(service.as_bytes());
+    hasher.write_u64(position.term);
+    hasher.write_u64(position.lsn.0);
+    hasher.finish()
+}
--- /dev/null
+++ b/standin/src/bench/process.rs
@@ -0,0 +1,71 @@
+//! A process that the bench started.
+
+use std::{
+    fs::File,
+    path::Path,
+    process::{Child, Command, Stdio},
+};
+
+/// A process that the bench started; dropping it ends the process.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program whose output goes to a file.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the program can't be started.
+    pub fn start(program: &Path, args: &[String], log: &Path) -> Process {
+        let output = File::create(log).expect("a log file can be made");
+        let errors = output.try_clone().expect("a file can be shared");
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
+            .spawn()
+            .unwrap_or_else(|error| panic!("{}: {error}", program.display()));
+        Process { child }
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by name, such as `STOP`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no signal can be sent.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill")
+            .args([format!("-{name}"), self.id().to_string()])
+            .status();
+        assert!(
+            sent.is_ok_and(|s| s.success()),
+            "signal {name} was not sent"
+        );
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Whether the process has ended, and how.
+    pub fn ended(&mut self) -> Option<i32> {
+        let status = self.child.try_wait().ok()??;
+        Some(status.code().unwrap_or(-1))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/standin/src/endpoint/follow.rs
@@ -0,0 +1,162 @@
+//! Replication: a replica pulls the log; a primary announces itself.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration, time::Instant};
+
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage, SimpleQueryRow};
+
+use super::{Entry, Member, Role};
+
+const RETRY: Duration = Duration::from_millis(50);
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(100);
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pulls the primary's log while this member is a replica.
+pub async fn pull(member: Arc<Member>) {
+    loop {
+        let source = {
+            let state = member.state();
+            let follows = state.role == Role::Replica && !state.cut;
+            state.primary.filter(|_| follows).map(|p| (p, state.term))
+        };
+        if let Some((primary, term)) = source
+            && let Some(client) = connect(primary).await
+        {
+            pull_from(&member, &client, primary, term).await;
+        }
+        tokio::time::sleep(RETRY).await;
+    }
+}
+
+async fn pull_from(member: &Member, client: &Client, primary: SocketAddr, term: u64) {
+    let mut position = member.state().log.len();
+    loop {
+        let (position_term, lag_ms) = {
+            let state = member.state();
+            if state.cut || state.term != term || state.primary != Some(primary) {
+                return;
+            }
+            (state.term_at(position), state.ship_lag_ms)
+        };
+        let sql = format!("SELECT dbgroup_log({term},{position},{position_term},{lag_ms})");
+        let Ok(Ok(answer)) = tokio::time::timeout(PEER_TIMEOUT, client.simple_query(&sql)).await
+        else {
+            return;
+        };
+        let Some(text) = first_value(&answer) else {
+            return;
+        };
+        member.state().primary_seen = Instant::now();
+        if text == "mismatch" {
+            if position == 0 {
+                return;
+            }
+            position -= 1;
+            continue;
+        }
+        let Ok(entries) = serde_json::from_str::<Vec<Entry>>(&text) else {
+            return;
+        };
+        if !receive(member, primary, term, position, entries) {
+            return;
+        }
+        position = member.state().log.len();
+    }
+}
+
+fn receive(
+    member: &Member,
+    primary: SocketAddr,
+    term: u64,
+    position: usize,
+    entries: Vec<Entry>,
+) -> bool {
+    let mut state = member.state();
+    if state.cut || state.term != term || state.primary != Some(primary) {
+        return false;
+    }
+    if state.log.len() > position {
+        state.truncate(position);
+        member.drop_connections();
+    }
+    let now = Instant::now();
+    state.log.extend(entries.into_iter().map(|e| (e, now)));
+    state.synced_term = term;
+    true
+}
+
+/// Replays received entries once they are old enough.
+pub async fn replay(member: Arc<Member>) {
+    loop {
+        {
+            let mut state = member.state();
+            if state.role == Role::Replica {
+                let lag = Duration::from_millis(state.replay_lag_ms);
+                let due = state.log[state.replayed..]
+                    .iter()
+                    .take_while(|(_, at)| at.elapsed() >= lag)
+                    .count();
+                let position = state.replayed + due;
+                state.replay_to(position);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Tells the peers of a primary whom to follow, until they do.
+pub async fn announce(member: Arc<Member>) {
+    loop {
+        for peer in &member.settings.peer {
+            let term = {
+                let state = member.state();
+                (state.role == Role::Primary && !state.cut).then_some(state.term)
+            };
+            if let Some(term) = term {
+                announce_to(&member, *peer, term).await;
+            }
+        }
+        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
+
+async fn announce_to(member: &Member, peer: SocketAddr, term: u64) {
+    let own = member.settings.listen;
+    let sql = format!("SELECT dbgroup_follow({term},'{own}')");
+    let ask = async {
+        let client = connect(peer).await?;
+        let answer = client.simple_query(&sql).await.ok()?;
+        first_value(&answer)?.parse::<u64>().ok()
+    };
+    let Ok(Some(peer_term)) = tokio::time::timeout(PEER_TIMEOUT, ask).await else {
+        return;
+    };
+    let mut state = member.state();
+    if peer_term > state.term && !state.cut && state.role == Role::Primary {
+        state.term = peer_term;
+        state.role = Role::Replica;
+        member.drop_connections();
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Option<Client> {
+    let mut config = tokio_postgres::Config::new();
+    config.host(addr.ip().to_string());
+    config.port(addr.port());
+    config.user("dbgroup");
+    config.application_name("dbgroup");
+    config.connect_timeout(PEER_TIMEOUT);
+    let (client, connection) = config.connect(NoTls).await.ok()?;
+    tokio::spawn(connection);
+    Some(client)
+}
+
+fn first_value(answer: &[SimpleQueryMessage]) -> Option<String> {
+    answer.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => value(row),
+        _ => None,
+    })
+}
+
+fn value(row: &SimpleQueryRow) -> Option<String> {
+    row.get(0).map(str::to_owned)
+}
