Replace a failed primary: kill, freeze, cut from peers, silence

Now a primary that its replicas have lost is left out when the others form a majority; nothing acknowledged can be missing there. - After a freeze no commit was confirmed for 30 s: the endpoint stand-in's replication hung in the start of a connection to the frozen member. Ruled out: the delegate (it promoted after 1.2 s) and the slots (they saw it). The stand-in now bounds the whole connection. - Failed traffic now makes the delegate probe at once instead of doubting without evidence, and opinions of the holders end a doubt when they are in.

--- a/src/control/node/message.rs
+++ b/src/control/node/message.rs
@@ -125,11 +125,11 @@
         /// The primary in doubt.
         member: Name,
     },
-    /// A second opinion came.
-    OpinionHeard {
+    /// The second opinions came.
+    OpinionsHeard {
         /// Service.
         service: Name,
-        /// Whether the primary is reached.
+        /// Whether one of the others reaches the primary.
         reaches: bool,
     },
     /// The delegate on this VM has no reserved term left.
--- a/src/control/node/mod.rs
+++ b/src/control/node/mod.rs
@@ -229,7 +229,7 @@
                 reply,
             } => self.answer_reaches(&service, member, reply),
             NodeMessage::AskOpinions { service, member } => self.ask_opinions(&service, &member),
-            NodeMessage::OpinionHeard { service, reaches } => self.opinion(&service, reaches),
+            NodeMessage::OpinionsHeard { service, reaches } => self.opinions(&service, reaches),
             NodeMessage::Reserve { service, highest } => self.reserve(&service, highest),
             NodeMessage::Promoted {
                 service,
--- a/src/control/node/orders.rs
+++ b/src/control/node/orders.rs
@@ -1,6 +1,6 @@
 //! Failover and operators: opinions, promotions, reports and orders.
 
-use futures::channel::oneshot;
+use futures::{channel::oneshot, future::join_all};
 
 use super::{Node, NodeMessage};
 use crate::{
@@ -25,26 +25,28 @@
         let holders = known.row.value.holders();
         let others = holders.iter().flatten().filter(|vm| **vm != self.own);
         let addresses: Vec<_> = others.filter_map(|vm| self.address_of(vm)).collect();
-        for address in addresses {
-            let peers = self.peers.clone();
-            let service = service.clone();
-            let member = member.clone();
-            self.ask(async move {
-                let answer = peers
-                    .call(address, OPINION_TIMEOUT, async |client, context| {
+        let peers = self.peers.clone();
+        let service = service.clone();
+        let member = member.clone();
+        self.ask(async move {
+            let asked = addresses.into_iter().map(|address| {
+                let (peers, service, member) = (peers.clone(), service.clone(), member.clone());
+                async move {
+                    let call = peers.call(address, OPINION_TIMEOUT, async |client, context| {
                         client
                             .reaches_primary(context, service.clone(), member.clone())
                             .await
-                    })
-                    .await;
-                let reaches = answer.unwrap_or(false);
-                NodeMessage::OpinionHeard { service, reaches }
+                    });
+                    call.await.unwrap_or(false)
+                }
             });
-        }
+            let reaches = join_all(asked).await.into_iter().any(|reaches| reaches);
+            NodeMessage::OpinionsHeard { service, reaches }
+        });
     }
 
-    pub(super) fn opinion(&mut self, service: &Name, reaches_primary: bool) {
-        self.tell_delegate(service, Event::Opinion { reaches_primary });
+    pub(super) fn opinions(&mut self, service: &Name, reaches_primary: bool) {
+        self.tell_delegate(service, Event::Opinions { reaches_primary });
     }
 
     pub(super) fn answer_reaches(
--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -25,6 +25,9 @@
     /// Silence after which a primary counts as failed.
     #[builder(default = 1_000)]
     pub detect_ms: u64,
+    /// Time that a primary's probes fail before the others are asked.
+    #[builder(default = 300)]
+    pub doubt_ms: u64,
     /// Time that opinions, raises and promotions may take.
     #[builder(default = 500)]
     pub step_ms: u64,
@@ -47,9 +50,9 @@
     },
     /// Requests to the primary failed.
     TrafficFailed,
-    /// Another slot holder said whether it reaches the primary.
-    Opinion {
-        /// Whether it reaches it.
+    /// The other slot holders said whether any of them reaches the primary.
+    Opinions {
+        /// Whether one reaches it.
         reaches_primary: bool,
     },
     /// A member answered a raise, or did not.
@@ -131,12 +134,13 @@
     Watching,
     Doubting {
         opinions_asked_ms: Option<u64>,
-        opinion_reaches: bool,
+        nobody_reaches: bool,
     },
     Raising {
         term: u64,
         since_ms: u64,
         answers: BTreeMap<usize, MemberStatus>,
+        suspect: Option<usize>,
     },
     Promoting {
         term: u64,
@@ -150,6 +154,8 @@
     status: Option<MemberStatus>,
     answered_ms: Option<u64>,
     asked_ms: Option<u64>,
+    failing_since_ms: Option<u64>,
+    failures: u32,
 }
 
 /// The delegate's state for one service.
@@ -210,8 +216,8 @@
         match event {
             Event::Tick => {}
             Event::Probed { member, status } => self.record(now_ms, member, status),
-            Event::TrafficFailed => self.doubt(),
-            Event::Opinion { reaches_primary } => self.hear_opinion(reaches_primary),
+            Event::TrafficFailed => self.probe_now(),
+            Event::Opinions { reaches_primary } => self.hear_opinions(reaches_primary),
             Event::Raised { member, status } => self.hear_raise(now_ms, member, status),
             Event::Promoted { member, status } => {
                 return self.hear_promotion(now_ms, member, status);
@@ -233,6 +239,17 @@
         if status.is_some() {
             seen.status = status;
             seen.answered_ms = Some(now_ms);
+            seen.failing_since_ms = None;
+            seen.failures = 0;
+        } else {
+            seen.failing_since_ms.get_or_insert(now_ms);
+            seen.failures += 1;
+        }
+    }
+
+    fn probe_now(&mut self) {
+        for seen in &mut self.members {
+            seen.asked_ms = None;
         }
     }
 
@@ -240,17 +257,21 @@
         if matches!(self.phase, Phase::Watching) {
             self.phase = Phase::Doubting {
                 opinions_asked_ms: None,
-                opinion_reaches: false,
+                nobody_reaches: false,
             };
         }
     }
 
-    fn hear_opinion(&mut self, reaches: bool) {
+    fn hear_opinions(&mut self, reaches_primary: bool) {
         if let Phase::Doubting {
-            opinion_reaches, ..
+            opinions_asked_ms,
+            nobody_reaches,
         } = &mut self.phase
         {
-            *opinion_reaches |= reaches;
+            *nobody_reaches = !reaches_primary;
+            if reaches_primary {
+                *opinions_asked_ms = None;
+            }
         }
     }
 
@@ -355,38 +376,35 @@
     }
 
     fn is_in_doubt(&self, now_ms: u64) -> bool {
-        let settings = &self.settings;
-        let slack_ms = settings.probe_interval_ms + settings.doubt_interval_ms * 2;
-        !self.answers_as_primary(now_ms, slack_ms) || self.replicas_miss_primary(now_ms)
+        !self.primary_answers() || self.replicas_miss_primary(now_ms)
     }
 
-    fn answers_as_primary(&self, now_ms: u64, within_ms: u64) -> bool {
-        let Some(primary) = self.primary() else {
-            return now_ms < self.started_ms + within_ms;
-        };
-        let answered = self.members[primary].answered_ms;
-        answered.is_some_and(|at| now_ms <= at + within_ms)
+    /// Whether the last probe of the primary was answered.
+    fn primary_answers(&self) -> bool {
+        match self.primary() {
+            Some(primary) => self.members[primary].failures == 0,
+            // Before the first reports there is nothing to doubt.
+            None => self.members.iter().all(|m| m.status.is_none()),
+        }
     }
 
     /// Whether all but a minority of the members have lost the primary.
     fn replicas_miss_primary(&self, now_ms: u64) -> bool {
-        let missing = self.members.iter().filter(|m| {
-            let Some(status) = m.status else { return false };
-            let Some(answered_ms) = m.answered_ms else {
+        let detect_ms = self.settings.detect_ms;
+        let misses = |seen: &&Seen| {
+            let (Some(status), Some(answered_ms)) = (seen.status, seen.answered_ms) else {
                 return false;
             };
-            let recent = now_ms <= answered_ms + self.settings.detect_ms;
-            let silent_ms = status.primary_seen_ms + (now_ms - answered_ms);
-            recent && status.role == Role::Replica && silent_ms >= self.settings.detect_ms
-        });
-        missing.count() > self.members.len() / 2
+            // What a member said earlier says nothing of the time since.
+            let is_recent = now_ms <= answered_ms + self.settings.doubt_interval_ms * 2;
+            is_recent && status.role == Role::Replica && status.primary_seen_ms >= detect_ms
+        };
+        self.members.iter().filter(misses).count() > self.members.len() / 2
     }
 
     fn advance_doubt(&mut self, now_ms: u64) -> Vec<Action> {
-        let detect_ms = self.settings.detect_ms;
-        let answers = self.answers_as_primary(now_ms, self.settings.doubt_interval_ms * 3);
         let missed = self.replicas_miss_primary(now_ms);
-        if answers && !missed {
+        if self.primary_answers() && !missed && self.primary().is_some() {
             self.phase = Phase::Watching;
             return Vec::new();
         }
@@ -396,47 +414,56 @@
         if missed {
             return self.raise(now_ms);
         }
-        if self.answers_as_primary(now_ms, detect_ms) {
-            return Vec::new();
-        }
         self.weigh_opinions(now_ms)
     }
 
     /// Only this VM may have lost the primary: the other holders decide.
     fn weigh_opinions(&mut self, now_ms: u64) -> Vec<Action> {
         let primary = self.primary();
-        let step_ms = self.settings.step_ms;
+        let fails_long = match primary {
+            Some(primary) => {
+                let seen = &self.members[primary];
+                let since_ms = seen.failing_since_ms.unwrap_or(now_ms);
+                seen.failures > 1 && now_ms >= since_ms + self.settings.doubt_ms
+            }
+            None => now_ms >= self.started_ms + self.settings.detect_ms,
+        };
         let Phase::Doubting {
             opinions_asked_ms,
-            opinion_reaches,
+            nobody_reaches,
         } = &mut self.phase
         else {
             return Vec::new();
         };
-        let Some(asked_ms) = *opinions_asked_ms else {
-            *opinions_asked_ms = Some(now_ms);
-            return primary.map(Action::AskOpinions).into_iter().collect();
-        };
-        if now_ms < asked_ms + step_ms {
+        if !fails_long {
             return Vec::new();
         }
-        if *opinion_reaches {
-            *opinions_asked_ms = None;
-            *opinion_reaches = false;
+        if *nobody_reaches || primary.is_none() {
+            return self.raise(now_ms);
+        }
+        let is_asked = opinions_asked_ms.is_some_and(|at| now_ms < at + self.settings.step_ms);
+        if is_asked {
             return Vec::new();
         }
-        self.raise(now_ms)
+        *opinions_asked_ms = Some(now_ms);
+        primary.map(Action::AskOpinions).into_iter().collect()
     }
 
     fn raise(&mut self, now_ms: u64) -> Vec<Action> {
         let Some(term) = self.next_term() else {
             return self.reserve_if_short(now_ms).into_iter().collect();
         };
+        let suspect = match self.preferred {
+            // An operator's order does not mean that the primary is unwell.
+            Some(_) => None,
+            None => self.primary(),
+        };
         self.reserved.start = term + 1;
         self.phase = Phase::Raising {
             term,
             since_ms: now_ms,
             answers: BTreeMap::new(),
+            suspect,
         };
         let members = 0..self.members.len();
         members
@@ -449,16 +476,28 @@
             term,
             since_ms,
             answers,
+            suspect,
         } = &self.phase
         else {
             return Vec::new();
         };
         let (term, since_ms) = (*term, *since_ms);
-        let has_majority = answers.len() > self.members.len() / 2;
-        if has_majority {
-            let Some(member) = most_advanced(answers, self.preferred) else {
-                return Vec::new();
-            };
+        let majority = self.members.len() / 2 + 1;
+        // A primary that its replicas have lost may hold more than they do,
+        // but nothing acknowledged that a majority of the others lacks.
+        let mut others = answers.clone();
+        if let Some(suspect) = suspect {
+            others.remove(suspect);
+        }
+        let is_late = now_ms >= since_ms + self.settings.step_ms / 2;
+        let chosen = if others.len() >= majority {
+            most_advanced(&others, self.preferred)
+        } else if is_late && answers.len() >= majority {
+            most_advanced(answers, self.preferred)
+        } else {
+            None
+        };
+        if let Some(member) = chosen {
             self.phase = Phase::Promoting {
                 term,
                 member,
--- a/standin/src/bench/mod.rs
+++ b/standin/src/bench/mod.rs
@@ -48,7 +48,9 @@
     /// Panics when a process can't be started or is not ready in time.
     pub fn start(settings: BenchSettings) -> Bench {
         let programs = programs();
-        let folder = tempfile::tempdir().expect("a temporary folder can be made");
+        let mut folder = tempfile::tempdir().expect("a temporary folder can be made");
+        // With this variable set the logs stay for a look at them.
+        folder.disable_cleanup(std::env::var_os("STANDIN_KEEP").is_some());
         let platform = free_address();
         let process = Process::start(
             &programs.join("platform-standin"),
@@ -190,6 +192,15 @@
         })
     }
 
+    /// As [`Bench::primary`], among all members but one.
+    pub fn primary_without(&self, service: usize, without: usize) -> Option<usize> {
+        let members = self.endpoints[service].iter().enumerate();
+        let others = members.filter(|(index, _)| *index != without);
+        let leads = |member: &EndpointProcess| member.status().is_some_and(|s| s.is_primary);
+        let mut leading = others.filter(|(_, member)| leads(member));
+        leading.next().map(|(index, _)| index)
+    }
+
     fn start_endpoints(&mut self) {
         let program = self.programs.join("endpoint-standin");
         for service in 0..self.settings.services {
--- a/standin/src/endpoint/follow.rs
+++ b/standin/src/endpoint/follow.rs
@@ -145,7 +145,9 @@
     config.user("dbgroup");
     config.application_name("dbgroup");
     config.connect_timeout(PEER_TIMEOUT);
-    let (client, connection) = config.connect(NoTls).await.ok()?;
+    // The driver's own limit covers only the first part of a connection.
+    let connecting = tokio::time::timeout(PEER_TIMEOUT, config.connect(NoTls));
+    let (client, connection) = connecting.await.ok()?.ok()?;
     tokio::spawn(connection);
     Some(client)
 }
--- /dev/null
+++ b/standin/src/history/mod.rs
@@ -0,0 +1,7 @@
+//! Histories of what callers did and saw, and an exact checker.
+
+mod check;
+mod event;
+
+pub use check::{Violation, check};
+pub use event::{Ended, Event, History};
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,4 +5,6 @@
 
 pub mod bench;
 pub mod endpoint;
+pub mod history;
+pub mod load;
 pub mod platform;
--- /dev/null
+++ b/standin/src/load/caller.rs
@@ -0,0 +1,179 @@
+//! A caller that can move between proxies and carry its session.
+
+use std::net::SocketAddr;
+
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+
+use crate::history::Ended;
+
+/// How a caller carries its session to the next connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Carry {
+    /// It presents its token.
+    Token,
+    /// It presents nothing.
+    Nothing,
+}
+
+/// A caller.
+pub struct Caller {
+    addresses: Vec<SocketAddr>,
+    service: String,
+    next: usize,
+    moves: bool,
+    carry: Carry,
+    options: String,
+    token: Option<String>,
+    client: Option<Client>,
+}
+
+/// A failed request.
+#[derive(Clone, Debug)]
+pub struct Failed {
+    /// SQLSTATE, or `connection`.
+    pub state: String,
+    /// Text with the number.
+    pub text: String,
+    /// What is known of the outcome.
+    pub ended: Ended,
+}
+
+impl Caller {
+    /// Creates a caller that starts at `addresses[first]`.
+    pub fn new(addresses: &[SocketAddr], service: &str, first: usize) -> Caller {
+        Caller {
+            addresses: addresses.to_vec(),
+            service: service.to_owned(),
+            next: first,
+            moves: false,
+            carry: Carry::Token,
+            options: String::new(),
+            token: None,
+            client: None,
+        }
+    }
+
+    /// Makes every request use another proxy.
+    pub fn moving(mut self, carry: Carry) -> Caller {
+        self.moves = true;
+        self.carry = carry;
+        self
+    }
+
+    /// Adds startup options.
+    pub fn with_options(mut self, options: &str) -> Caller {
+        self.options = options.to_owned();
+        self
+    }
+
+    /// Moves to the next proxy now.
+    pub fn move_on(&mut self) {
+        self.client = None;
+    }
+
+    /// Runs a statement; the first column of its rows.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is known of the outcome.
+    pub async fn run(&mut self, sql: &str) -> Result<Vec<String>, Failed> {
+        if self.client.as_ref().is_none_or(Client::is_closed) {
+            self.client = Some(self.connect().await?);
+        }
+        let Some(client) = &self.client else {
+            return Err(not_connected("no connection"));
+        };
+        let answer = client.simple_query(sql).await;
+        let answer = match answer {
+            Ok(answer) => values(&answer),
+            Err(error) => {
+                if client.is_closed() {
+                    self.client = None;
+                }
+                return Err(failed(&error));
+            }
+        };
+        if self.moves {
+            self.learn_token().await;
+            self.client = None;
+        }
+        Ok(answer)
+    }
+
+    /// Remembers the session's token.
+    pub async fn learn_token(&mut self) {
+        let Some(client) = &self.client else { return };
+        let shown = client.simple_query("SHOW foxtailknot.session_token").await;
+        let shown = shown.ok().and_then(|answer| values(&answer).pop());
+        self.token = shown
+            .filter(|token| token != "unknown")
+            .or(self.token.take());
+    }
+
+    async fn connect(&mut self) -> Result<Client, Failed> {
+        let mut last = not_connected("no proxy");
+        for _ in 0..self.addresses.len() {
+            let address = self.addresses[self.next % self.addresses.len()];
+            self.next += 1;
+            match self.connect_to(address).await {
+                Ok(client) => return Ok(client),
+                Err(error) => last = not_connected(&error.to_string()),
+            }
+        }
+        Err(last)
+    }
+
+    async fn connect_to(&self, address: SocketAddr) -> Result<Client, tokio_postgres::Error> {
+        let mut config = tokio_postgres::Config::new();
+        config.host(address.ip().to_string());
+        config.port(address.port());
+        config.user("load");
+        config.dbname(&self.service);
+        config.connect_timeout(std::time::Duration::from_secs(2));
+        let mut options = self.options.clone();
+        if let Some(token) = self.token.as_ref().filter(|_| self.carry == Carry::Token) {
+            options += &format!(" -c foxtailknot.session_token={token}");
+        }
+        config.options(options.trim());
+        let (client, connection) = config.connect(NoTls).await?;
+        tokio::spawn(connection);
+        Ok(client)
+    }
+}
+
+fn values(answer: &[SimpleQueryMessage]) -> Vec<String> {
+    let rows = answer.iter().filter_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    });
+    rows.collect()
+}
+
+fn failed(error: &tokio_postgres::Error) -> Failed {
+    let Some(db) = error.as_db_error() else {
+        // A connection that broke says nothing of the outcome.
+        return Failed {
+            state: "connection".into(),
+            text: error.to_string(),
+            ended: Ended::Unknown,
+        };
+    };
+    let is_unknown = db.detail().is_some_and(|d| d.contains("unknown"));
+    Failed {
+        state: db.code().code().to_owned(),
+        text: db.message().to_owned(),
+        ended: match is_unknown {
+            true => Ended::Unknown,
+            false => Ended::NotRun,
+        },
+    }
+}
+
+fn not_connected(text: &str) -> Failed {
+    Failed {
+        state: "connect".into(),
+        text: text.to_owned(),
+        ended: Ended::NotRun,
+    }
+}
--- /dev/null
+++ b/standin/src/load/slopes.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/standin/src/load/writers.rs
@@ -0,0 +1,198 @@
+//! Sessions that write entries and read them back, recorded as a history.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use super::caller::{Caller, Carry};
+use crate::history::{Ended, Event, History};
+
+/// Table that the sessions write to.
+pub const TABLE_SQL: &str = "CREATE TABLE entries (key TEXT NOT NULL, half INTEGER)";
+/// Pause after a failed request.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// What the sessions do.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Sessions at once.
+    pub sessions: usize,
+    /// Writes of each session; it stops earlier when told to.
+    pub writes: usize,
+    /// Whether every request uses another proxy.
+    pub moves: bool,
+    /// How the session is carried.
+    pub carry: Carry,
+    /// Pause between two writes of a session.
+    pub pace: Duration,
+    /// Prefix of the keys.
+    pub prefix: String,
+}
+
+/// When writes ended, and how.
+#[derive(Clone, Debug, Default)]
+pub struct Log {
+    /// Times of acknowledged writes since the start.
+    pub done: Vec<Duration>,
+    /// Failures by SQLSTATE and number.
+    pub failures: BTreeMap<String, usize>,
+    /// Events for the checker.
+    pub events: Vec<Event>,
+}
+
+/// A running load.
+pub struct Writers {
+    log: Arc<Mutex<Log>>,
+    stop: Arc<AtomicBool>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+    /// Start of the clock of [`Log::done`].
+    pub started: Instant,
+}
+
+impl Writers {
+    /// Starts the sessions.
+    pub fn start(addresses: &[SocketAddr], service: &str, plan: &Plan) -> Writers {
+        let log = Arc::new(Mutex::new(Log::default()));
+        let stop = Arc::new(AtomicBool::new(false));
+        let started = Instant::now();
+        let tasks = (0..plan.sessions).map(|session| {
+            let caller = Caller::new(addresses, service, session);
+            let caller = match plan.moves {
+                true => caller.moving(plan.carry),
+                false => caller,
+            };
+            let run = run_session(
+                caller,
+                session,
+                plan.clone(),
+                log.clone(),
+                stop.clone(),
+                started,
+            );
+            tokio::spawn(run)
+        });
+        Writers {
+            tasks: tasks.collect(),
+            log,
+            stop,
+            started,
+        }
+    }
+
+    /// Acknowledged writes so far.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a session panicked.
+    pub fn done(&self) -> usize {
+        self.log.lock().expect("no session panics").done.len()
+    }
+
+    /// Lets the sessions finish all their writes.
+    pub async fn finish(self) -> Log {
+        self.collect().await
+    }
+
+    /// Stops the sessions after the request that each is in.
+    pub async fn stop(self) -> Log {
+        self.stop.store(true, Ordering::Relaxed);
+        self.collect().await
+    }
+
+    async fn collect(self) -> Log {
+        for task in self.tasks {
+            // A panic shows as missing writes.
+            let _ = task.await;
+        }
+        std::mem::take(&mut *self.log.lock().expect("no session panics"))
+    }
+}
+
+async fn run_session(
+    mut caller: Caller,
+    session: usize,
+    plan: Plan,
+    log: Arc<Mutex<Log>>,
+    stop: Arc<AtomicBool>,
+    started: Instant,
+) {
+    for number in 0..plan.writes {
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let key = format!("{}-{session}-{number}", plan.prefix);
+        let sql = format!("INSERT INTO entries (key, half) VALUES ('{key}', 0)");
+        let written = caller.run(&sql).await;
+        let ended = match &written {
+            Ok(_) => Ended::Done,
+            Err(failed) => failed.ended,
+        };
+        let event = Event::Write {
+            session,
+            key: key.clone(),
+            ended,
+        };
+        note(&log, started, event, written.as_ref().err());
+        if written.is_err() {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        }
+        let sql = format!("SELECT count(*) FROM entries WHERE key = '{key}'");
+        if let Ok(values) = caller.run(&sql).await {
+            let seen = values.first().and_then(|v| v.parse().ok()).unwrap_or(0);
+            note(&log, started, Event::Read { session, key, seen }, None);
+        }
+        if !plan.pace.is_zero() {
+            tokio::time::sleep(plan.pace).await;
+        }
+    }
+}
+
+fn note(log: &Mutex<Log>, started: Instant, event: Event, failed: Option<&super::caller::Failed>) {
+    let mut log = log.lock().expect("no session panics");
+    let is_done = matches!(
+        event,
+        Event::Write {
+            ended: Ended::Done,
+            ..
+        }
+    );
+    if is_done {
+        log.done.push(started.elapsed());
+    }
+    if let Some(failed) = failed {
+        let number = failed.text.split(':').next().unwrap_or_default();
+        let label = format!("{} {number}", failed.state);
+        *log.failures.entry(label).or_default() += 1;
+    }
+    log.events.push(event);
+}
+
+impl Log {
+    /// Longest time without an acknowledged write after `since`.
+    pub fn gap_after(&self, since: Duration) -> Duration {
+        let mut times: Vec<Duration> = self.done.iter().copied().filter(|t| *t >= since).collect();
+        times.sort();
+        let mut before = since;
+        let mut longest = Duration::ZERO;
+        for time in times {
+            longest = longest.max(time - before);
+            before = time;
+        }
+        longest
+    }
+
+    /// History with the keys that the primary holds in the end.
+    pub fn history(&self, stored: Vec<String>) -> History {
+        History {
+            events: self.events.clone(),
+            stored,
+        }
+    }
+}
