Let a session of unknown position read at replicas: a barrier by majority

Cause: a session that carries nothing took the primary's position as its barrier, and so waited for commits that nobody had been told of yet. Where a commit is acknowledged by a majority, any majority in step with the term holds every acknowledged commit, so the least advanced majority will do. Ruled out: asking only one replica (it may lack an acknowledged commit).

The stand-in's members that come back empty are no longer in step before they hold what the primary held when they began.

--- a/src/proxy/slot/task.rs
+++ b/src/proxy/slot/task.rs
@@ -12,7 +12,7 @@
         acknowledge::{Commit, Decision, acknowledge},
         admission::{Admission, AdmissionQueue},
         age::AgeTracker,
-        barrier::barrier,
+        barrier::{barrier, primary_barrier},
         member::{self, MemberView, Observation, Role},
         route::{self, Floor, ReadRequest, route},
     },
@@ -255,8 +255,9 @@
 
     /// Decides a read; keeps it when it has to wait for reports.
     fn decide_read(&mut self, mut reading: Reading, now_ms: u64) {
+        let mode = self.context.settings.acknowledge;
         if reading.request.floor == Floor::Unknown {
-            match barrier(&self.views(), reading.request.arrived_ms) {
+            match barrier(mode, &self.views(), reading.request.arrived_ms) {
                 Some(position) => reading.request.floor = Floor::Known(position),
                 None => {
                     self.reading.push(reading);
@@ -408,7 +409,7 @@
         let Some(asked_ms) = self.members[primary].asked_ms() else {
             return;
         };
-        if let Some(position) = barrier(&self.views(), asked_ms) {
+        if let Some(position) = primary_barrier(&self.views(), asked_ms) {
             self.ages.observe(asked_ms, position);
         }
     }
--- a/standin/src/bench/mod.rs
+++ b/standin/src/bench/mod.rs
@@ -192,6 +192,16 @@
         })
     }
 
+    /// Indices of the proxies that hold a slot of a service.
+    pub fn holders(&self, service: usize) -> Vec<usize> {
+        let row = self.get(&format!("table/service/{}", self.service(service)));
+        let slots = row.and_then(|row| row["value"]["slots"].as_array().cloned());
+        let slots = slots.unwrap_or_default();
+        let names = slots.iter().filter_map(|slot| slot["vm"].as_str());
+        let index = |vm: &str| self.proxies.iter().position(|proxy| proxy.vm == vm);
+        names.filter_map(index).collect()
+    }
+
     /// As [`Bench::primary`], among all members but one.
     pub fn primary_without(&self, service: usize, without: usize) -> Option<usize> {
         let members = self.endpoints[service].iter().enumerate();
--- /dev/null
+++ b/standin/src/bin/load.rs
@@ -0,0 +1,238 @@
+//! The load tool: starts a bench on loopback, measures, prints JSON lines.
+
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use serde_json::json;
+use standin::{
+    bench::{Bench, BenchSettings},
+    load::{
+        caller::Carry,
+        failover::{self, PrimaryFault},
+        idle,
+        latency::{self, LatencyPlan},
+        share::{self, SharePlan},
+        slopes,
+    },
+};
+
+/// Measures foxtailknot on loopback.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+enum Command {
+    /// Reads served by replicas, per lag and way of carrying the session.
+    #[bpaf(command)]
+    Share {
+        /// Lag of the replicas, in milliseconds; repeat for more.
+        #[bpaf(argument("MS"))]
+        lag_ms: Vec<u64>,
+        /// Reads of each caller.
+        #[bpaf(argument("COUNT"), fallback(100))]
+        reads: usize,
+        /// Let the lag lie between receipt and replay instead of before receipt.
+        replay: bool,
+        /// Acknowledgement of the service.
+        #[bpaf(argument("MODE"), fallback("majority".into()))]
+        acknowledge: String,
+    },
+    /// Failover gaps.
+    #[bpaf(command)]
+    Failover {
+        /// Runs of each fault.
+        #[bpaf(argument("COUNT"), fallback(3))]
+        runs: usize,
+        /// Sessions that write.
+        #[bpaf(argument("COUNT"), fallback(8))]
+        sessions: usize,
+        /// Also with the platform down.
+        platform_down: bool,
+    },
+    /// Time and cost of a statement.
+    #[bpaf(command)]
+    Latency {
+        /// Length of each run, in seconds.
+        #[bpaf(argument("SECONDS"), fallback(3))]
+        length_s: u64,
+        /// Statements a second in an open loop; closed loop without.
+        #[bpaf(argument("COUNT"))]
+        rate: Option<u64>,
+        /// Use prepared statements.
+        prepared: bool,
+    },
+    /// Memory of idle callers.
+    #[bpaf(command)]
+    Idle,
+    /// Cost of control at several sizes.
+    #[bpaf(command)]
+    Slopes,
+    /// Cost of control in real processes at several numbers of VMs.
+    #[bpaf(command)]
+    Control {
+        /// Length of each run, in seconds.
+        #[bpaf(argument("SECONDS"), fallback(10))]
+        length_s: u64,
+    },
+}
+
+fn main() {
+    match command().run() {
+        Command::Share {
+            lag_ms,
+            reads,
+            replay,
+            acknowledge,
+        } => measure_share(&lag_ms, reads, replay, &acknowledge),
+        Command::Failover {
+            runs,
+            sessions,
+            platform_down,
+        } => measure_failover(runs, sessions, platform_down),
+        Command::Latency {
+            length_s,
+            rate,
+            prepared,
+        } => measure_latency(length_s, rate, prepared),
+        Command::Idle => measure_idle(),
+        Command::Slopes => slopes::run(),
+        Command::Control { length_s } => slopes::control(Duration::from_secs(length_s)),
+    }
+}
+
+fn measure_share(lags_ms: &[u64], reads: usize, replay: bool, acknowledge: &str) {
+    let ways = [
+        ("staying", false, Carry::Token, ""),
+        ("moving, token", true, Carry::Token, ""),
+        (
+            "moving, nothing carried (barrier)",
+            true,
+            Carry::Nothing,
+            "",
+        ),
+        (
+            "moving, token, age 2 s",
+            true,
+            Carry::Token,
+            "-c foxtailknot.max_age_ms=2000",
+        ),
+    ];
+    for &lag_ms in lags_ms {
+        for (name, moves, carry, options) in ways {
+            let settings = BenchSettings::builder()
+                .proxies(3)
+                .ship_lag_ms(if replay { 0 } else { lag_ms })
+                .replay_lag_ms(if replay { lag_ms } else { 0 })
+                .extra(vec![format!("acknowledge: {acknowledge}")])
+                .connect_ms(12)
+                .build();
+            let bench = Bench::start(settings);
+            let plan = SharePlan {
+                callers: 12,
+                reads,
+                reads_per_write: 20,
+                moves,
+                carry,
+                options: options.to_owned(),
+                pace: Duration::from_millis(20),
+            };
+            let report = share::run(&bench, &plan);
+            println!(
+                "{}",
+                json!({
+                    "measure": "share", "way": name, "lag_ms": lag_ms,
+                    "lag": if replay { "replay" } else { "shipping" },
+                    "acknowledge": acknowledge,
+                    "share": report.share(), "replica": report.replica,
+                    "primary": report.primary, "p50_us": report.p50_us,
+                    "p99_us": report.p99_us, "stale": report.stale,
+                    "failed": report.failed,
+                })
+            );
+        }
+    }
+}
+
+fn measure_failover(runs: usize, sessions: usize, platform_down: bool) {
+    let faults = [
+        PrimaryFault::Kill,
+        PrimaryFault::Freeze,
+        PrimaryFault::CutFromPeers,
+        PrimaryFault::Silence,
+    ];
+    for fault in faults {
+        let mut gaps_ms = Vec::new();
+        for _ in 0..runs {
+            let settings = BenchSettings::builder().proxies(3).connect_ms(12).build();
+            let mut bench = Bench::start(settings);
+            failover::create_table(&bench);
+            let report = failover::run(&mut bench, fault, sessions, platform_down);
+            gaps_ms.push(report.gap.as_millis() as u64);
+            println!(
+                "{}",
+                json!({
+                    "measure": "failover", "fault": fault.to_string(),
+                    "platform_down": platform_down,
+                    "gap_ms": report.gap.as_millis() as u64, "done": report.done,
+                    "failures": report.failures, "violations": report.violations.len(),
+                })
+            );
+        }
+        gaps_ms.sort_unstable();
+        println!(
+            "{}",
+            json!({
+                "measure": "failover gap", "fault": fault.to_string(), "runs": runs,
+                "platform_down": platform_down, "p50_ms": gaps_ms[gaps_ms.len() / 2],
+                "max_ms": gaps_ms.last(),
+            })
+        );
+    }
+}
+
+fn measure_latency(length_s: u64, rate: Option<u64>, prepared: bool) {
+    let settings = BenchSettings::builder()
+        .proxies(4)
+        .connections(400)
+        .connect_ms(0)
+        .build();
+    let mut bench = Bench::start(settings);
+    let service = bench.service(0);
+    let holders = bench.holders(0);
+    let forwarding = (0..bench.proxies.len()).find(|i| !holders.contains(i));
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build()
+        .expect("a runtime can be made");
+    let mut ways = vec![("direct", bench.endpoints[0][1].address, None)];
+    for (name, index) in [
+        ("slot holder", holders.first().copied()),
+        ("forwarding", forwarding),
+    ] {
+        if let Some(index) = index {
+            let id = bench.proxies[index].process().map(|p| p.id());
+            ways.push((name, bench.proxies[index].callers, id));
+        }
+    }
+    for callers in [1, 16, 256] {
+        for (name, address, id) in &ways {
+            let plan = LatencyPlan {
+                callers,
+                length: Duration::from_secs(length_s),
+                rate,
+                prepared,
+            };
+            let report = runtime.block_on(latency::run(*address, &service, &plan, *id));
+            println!(
+                "{}",
+                json!({"measure": "latency", "way": name, "report": report})
+            );
+        }
+    }
+}
+
+fn measure_idle() {
+    let mut bench = Bench::start(BenchSettings::builder().proxies(1).build());
+    for report in idle::run(&mut bench, &[500, 1_000, 2_000, 5_000]) {
+        println!("{}", json!({"measure": "idle", "report": report}));
+    }
+}
--- a/standin/src/endpoint/follow.rs
+++ b/standin/src/endpoint/follow.rs
@@ -29,6 +29,14 @@
 
 async fn pull_from(member: &Member, client: &Client, primary: SocketAddr, term: u64) {
     let mut position = member.state().log.len();
+    if member.state().synced_term == 0 {
+        // A copy made anew is not in step before it holds all that the primary
+        // held when it began: it may have held and lost some of that before.
+        let Some(end) = primary_end(client).await else {
+            return;
+        };
+        member.state().rebuild_until = end;
+    }
     loop {
         let (position_term, lag_ms) = {
             let state = member.state();
@@ -63,6 +71,13 @@
     }
 }
 
+async fn primary_end(client: &Client) -> Option<usize> {
+    let asked = client.simple_query("SELECT pg_current_wal_lsn()");
+    let answer = tokio::time::timeout(PEER_TIMEOUT, asked).await.ok()?.ok()?;
+    let lsn: foxtailknot::lsn::Lsn = first_value(&answer)?.parse().ok()?;
+    usize::try_from(lsn.0).ok()
+}
+
 fn receive(
     member: &Member,
     primary: SocketAddr,
@@ -80,7 +95,9 @@
     }
     let now = Instant::now();
     state.log.extend(entries.into_iter().map(|e| (e, now)));
-    state.synced_term = term;
+    if state.log.len() >= state.rebuild_until {
+        state.synced_term = term;
+    }
     true
 }
 
--- a/standin/src/endpoint/state.rs
+++ b/standin/src/endpoint/state.rs
@@ -18,6 +18,8 @@
     pub primary: Option<SocketAddr>,
     /// When a replica last heard from its primary.
     pub primary_seen: Instant,
+    /// Position up to which a member that came back empty is not in step.
+    pub rebuild_until: usize,
     /// Received entries with the time they arrived or were committed.
     pub log: Vec<(Entry, Instant)>,
     /// Entries applied to `committed`.
@@ -47,6 +49,7 @@
             role: Role::Replica,
             primary: None,
             primary_seen: Instant::now(),
+            rebuild_until: 0,
             log: Vec::new(),
             replayed: 0,
             cut: false,
--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -6,4 +6,5 @@
 pub mod latency;
 pub mod share;
 pub mod slopes;
+pub mod usage;
 pub mod writers;
--- a/standin/src/load/share.rs
+++ b/standin/src/load/share.rs
@@ -84,7 +84,8 @@
             report.stale += ended.stale;
             report.failed += ended.failed;
             for time in ended.times_us {
-                times.saturating_record(time);
+                // The histogram grows with what it records.
+                let _ = times.record(time);
             }
         }
     });
