Find out what became of a commit whose term ended before it was confirmed

The proxy now asks the new primary which term its log has at the commit's position, after a barrier by majority in the new term. What it lacks can't come back, so the write was not run and is repeated; what it inherited is acknowledged once a majority holds it in the new term. Ruled out: judging by the new primary's log alone, since a primary whose term no majority has joined can itself be lost.

Reads no longer wait for replicas that are known to be further behind than the wait allows.

--- a/src/code.rs
+++ b/src/code.rs
@@ -50,6 +50,8 @@
     UnknownStatement = 212,
     /// The replica refused the statement as a write, and the position forbids a rerun.
     ReadOnly = 213,
+    /// The primary failed before the commit was safe; its successor lacks it.
+    TransactionDiscarded = 214,
     /// The connection broke after the request was sent.
     OutcomeUnknown = 301,
     /// The commit was not confirmed in its term.
@@ -94,6 +96,7 @@
             Code::Stopping => "57P01",
             Code::UnknownStatement => "26000",
             Code::ReadOnly => "25006",
+            Code::TransactionDiscarded => "40001",
             Code::OutcomeUnknown | Code::CommitUnconfirmed => "08007",
             Code::AnswerCut => "08006",
             Code::ProtocolViolation | Code::StartupRefused => "08P01",
--- a/src/decide/acknowledge.rs
+++ b/src/decide/acknowledge.rs
@@ -38,12 +38,12 @@
     Acknowledge,
     /// Wait for more reports.
     Wait,
-    /// The term is over: the outcome is not known.
+    /// The term is over, or the time is: the outcome is not known.
     Unknown,
 }
 
 /// A commit that waits.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Commit {
     /// Its position.
     pub position: Position,
@@ -53,6 +53,40 @@
     pub answered_ms: u64,
 }
 
+/// What became of a commit whose term ended before it was confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Fate {
+    /// The successor's log holds it; it is safe once a majority holds it in
+    /// the successor's term.
+    Inherited(Commit),
+    /// No later primary can hold it: it was never run.
+    Discarded,
+    /// The term has not ended.
+    Open,
+}
+
+/// Decides the fate of a commit from `found`, the term of the entry that the
+/// current primary holds at its position.
+///
+/// `now` is the position of a barrier by majority, taken after the commit's
+/// term ended: a majority is in step with the term of `now`, and every later
+/// primary is chosen from a majority by the term it is in step with. So what
+/// this primary lacks can't come back.
+pub fn fate(commit: &Commit, now: Position, primary: usize, found: Option<u64>) -> Fate {
+    if now.term <= commit.position.term {
+        return Fate::Open;
+    }
+    if found != Some(commit.position.term) {
+        return Fate::Discarded;
+    }
+    Fate::Inherited(Commit {
+        position: Position::new(now.term, commit.position.lsn),
+        primary,
+        ..*commit
+    })
+}
+
 /// Decides whether a commit may be acknowledged.
 ///
 /// A confirmation in the commit's own term is final: the promotion to any
--- a/src/decide/age.rs
+++ b/src/decide/age.rs
@@ -42,6 +42,15 @@
         covered.map(|(asked_ms, _)| now_ms.saturating_sub(*asked_ms))
     }
 
+    /// Time until data at `replayed` is expected to include `wanted`, in
+    /// milliseconds, if the replica stays as far behind as it is.
+    pub fn expected_ms(&self, replayed: Position, wanted: Position, now_ms: u64) -> Option<u64> {
+        let behind_ms = self.age_ms(replayed, now_ms)?;
+        let reached = self.seen.iter().find(|(_, p)| *p >= wanted);
+        let since_ms = reached.map_or(0, |(asked_ms, _)| now_ms.saturating_sub(*asked_ms));
+        Some(behind_ms.saturating_sub(since_ms))
+    }
+
     /// Time of the newest observation, in milliseconds.
     pub fn newest_ms(&self) -> Option<u64> {
         self.seen.back().map(|(asked_ms, _)| *asked_ms)
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -80,7 +80,8 @@
 /// A replica serves when its replayed position has reached the floor and its
 /// data is young enough. A near replica goes first, then the one with the
 /// fewest requests. When all are behind, the replicas are asked once, then
-/// waited for until `wait_until_ms`, and then the primary serves.
+/// waited for until `wait_until_ms` unless they are known to be further behind
+/// than that, and then the primary serves.
 pub fn route(
     request: &ReadRequest,
     members: &[MemberView],
@@ -127,7 +128,13 @@
             asked_after_ms: request.arrived_ms,
         };
     }
-    if now_ms < request.wait_until_ms {
+    let is_hopeless = |i: &usize| {
+        let replayed = members[*i].observation.map(|o| o.status.replayed());
+        let expected_ms = replayed.and_then(|r| ages.expected_ms(r, floor, now_ms));
+        expected_ms.is_some_and(|expected_ms| now_ms + expected_ms > request.wait_until_ms)
+    };
+    let may_catch_up = !replicas.iter().all(is_hopeless);
+    if now_ms < request.wait_until_ms && may_catch_up {
         return Decision::Wait {
             until_ms: request.wait_until_ms,
         };
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -24,8 +24,9 @@
 use crate::{
     clock,
     decide::{
-        acknowledge::{Commit, Decision},
+        acknowledge::{Acknowledge, Commit, Decision, Fate, fate},
         classify::Class,
+        route::Floor,
     },
     metrics::label,
     prelude::*,
@@ -34,6 +35,9 @@
 
 /// Longest time for a caller to finish its start.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time to find out what became of an unconfirmed commit, in
+/// milliseconds.
+const FATE_MS: u64 = 8_000;
 /// Severity of an error after which the connection goes on.
 const ERROR: &str = "ERROR";
 /// Severity of an error after which the connection ends.
@@ -489,6 +493,10 @@
             }
             if let Err(refusal) = self.acknowledge(&held, answer.lsn).await {
                 self.release(held, true);
+                let may_rerun = !is_pinned && !answer.is_passed;
+                if refusal.code == Code::TransactionDiscarded && may_rerun {
+                    return Ok(Attempt::Again(refusal));
+                }
                 self.refuse(request, &refusal);
                 return Ok(Attempt::Done);
             }
@@ -531,9 +539,12 @@
             primary: *member,
             answered_ms: clock::now_ms(),
         };
-        if slot.confirm(commit).await != Decision::Acknowledge {
-            return Err(unknown("the commit was not confirmed in its term"));
-        }
+        let position = match slot.confirm(commit).await {
+            Decision::Acknowledge => position,
+            // Only the barrier by majority tells what can't come back.
+            _ if self.acknowledges_by_majority() => find_fate(slot, commit).await?,
+            _ => return Err(unknown("the commit was not confirmed in its term")),
+        };
         if self.session.reach(position) {
             let token = self.session.token();
             message::put_parameter(self.wire.output(), TOKEN_PARAMETER, &token);
@@ -541,6 +552,11 @@
         Ok(())
     }
 
+    fn acknowledges_by_majority(&self) -> bool {
+        let route = self.context.route(&self.session.service);
+        route.is_some_and(|r| r.settings.acknowledge == Acknowledge::Majority)
+    }
+
     fn release(&mut self, held: Held, is_clean: bool) {
         let held_us = clock::now_us().saturating_sub(held.since_us);
         match held.slot {
@@ -576,6 +592,39 @@
     }
 }
 
+/// Finds out what became of a commit whose term ended before it was confirmed;
+/// its position in the new term if it survived.
+async fn find_fate(slot: &SlotHandle, commit: Commit) -> std::result::Result<Position, Refusal> {
+    let unknown = |text: &str| Refusal::new(Code::CommitUnconfirmed, text);
+    let deadline_ms = clock::now_ms() + FATE_MS;
+    let floor = Floor::Unknown;
+    let granted = slot.acquire(Want::Begin { floor }, deadline_ms).await;
+    let mut granted = granted.map_err(|_| unknown("no primary tells what became of the commit"))?;
+    let (Some(now), LinkTarget::Member { member, .. }) =
+        (granted.floor, granted.link.target.clone())
+    else {
+        return Err(unknown("no primary tells what became of the commit"));
+    };
+    let asked = super::watch::term_at(&mut granted.link, commit.position.lsn);
+    let found = compio::time::timeout(clock::until(deadline_ms), asked).await;
+    let Ok(Ok(found)) = found else {
+        return Err(unknown(
+            "the new primary did not tell what became of the commit",
+        ));
+    };
+    slot.release(granted.link, true, 0);
+    match fate(&commit, now, member, found) {
+        Fate::Discarded => {
+            let text = "the primary failed before the commit was safe; it was not run";
+            Err(Refusal::new(Code::TransactionDiscarded, text))
+        }
+        Fate::Inherited(commit) if slot.confirm(commit).await == Decision::Acknowledge => {
+            Ok(commit.position)
+        }
+        _ => Err(unknown("the commit was not confirmed")),
+    }
+}
+
 fn is_holder(context: &Context, service: &str, vm: &Name) -> bool {
     let route = context.route(service);
     route.is_some_and(|r| r.holders.iter().any(|h| h.vm == *vm))
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -58,24 +58,41 @@
     call(link, STATUS_SQL).await
 }
 
+/// Term of the entry that the member holds at a position.
+///
+/// # Errors
+///
+/// Returns an error when the connection broke or the member refused.
+pub async fn term_at(link: &mut Link, lsn: Lsn) -> Result<Option<u64>> {
+    let sql = format!("SELECT dbgroup_term_at('{lsn}')");
+    let values = query(link, &sql).await?;
+    let first = values.into_iter().next().flatten();
+    Ok(first.and_then(|term| term.parse().ok()))
+}
+
 /// Runs a group operation that returns a report.
 ///
 /// # Errors
 ///
 /// Returns an error when the connection broke or the member refused.
 pub async fn call(link: &mut Link, sql: &str) -> Result<MemberStatus> {
+    parse(&query(link, sql).await?)
+}
+
+/// Runs a query of one row.
+async fn query(link: &mut Link, sql: &str) -> Result<Vec<Option<String>>> {
     message::put_query(link.wire.output(), sql);
     link.wire.flush().await?;
-    let mut status = Err(ProxyError::protocol("no report"));
+    let mut values = Err(ProxyError::protocol("no row"));
     loop {
         let frame = link.wire.next_frame().await?;
         match frame.tag() {
-            tag::ROW => status = parse(&message::row_values(&frame)),
+            tag::ROW => values = Ok(message::row_values(&frame)),
             tag::ERROR => {
                 let (_, text) = message::error_fields(&frame);
-                status = Err(ProxyError::Refused { text });
+                values = Err(ProxyError::Refused { text });
             }
-            tag::READY => return status,
+            tag::READY => return values,
             _ => {}
         }
     }
--- a/standin/src/endpoint/operator.rs
+++ b/standin/src/endpoint/operator.rs
@@ -58,6 +58,13 @@
         "pg_current_wal_lsn" => one(name, lsn(status.received)),
         "pg_last_wal_receive_lsn" => one(name, lsn(status.received)),
         "pg_last_wal_replay_lsn" => one(name, lsn(status.replayed)),
+        "dbgroup_term_at" => {
+            let text = args.first().map(String::as_str).unwrap_or_default();
+            let lsn: foxtailknot::lsn::Lsn = text
+                .parse()
+                .map_err(|_| SqlError::new("22023", "bad position"))?;
+            one(name, member.state().term_at(lsn.0 as usize).to_string())
+        }
         "pg_is_in_recovery" => one(
             name,
             if status.primary_seen_ms > 0 { "t" } else { "f" }.into(),
