--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -31,11 +31,32 @@
     OtherZone,
 }
 
+/// Index that stands for a service as a whole, not for one of its slots.
+const WHOLE: usize = usize::MAX;
+
 /// Score of a VM for a key.
 pub fn score(key: &str, index: usize, vm: &str) -> u64 {
+    combine(hash_key(key, index), hash_vm(vm))
+}
+
+/// Scores are made from hashes of both sides, so that a VM that compares many
+/// keys hashes each name once.
+fn combine(key_hash: u64, vm_hash: u64) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write_u64(key_hash);
+    hasher.write_u64(vm_hash);
+    hasher.finish()
+}
+
+fn hash_key(key: &str, index: usize) -> u64 {
     let mut hasher = SipHasher13::new();
     hasher.write(key.as_bytes());
     hasher.write_usize(index);
+    hasher.finish()
+}
+
+fn hash_vm(vm: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
     hasher.write(vm.as_bytes());
     hasher.finish()
 }
@@ -43,7 +64,7 @@
 /// VM with the highest score for a service: its guardian, which claims the
 /// service when the delegate in its row is gone.
 pub fn guardian<'a>(service: &str, vms: impl Iterator<Item = &'a Name>) -> Option<&'a Name> {
-    vms.max_by_key(|vm| score(service, usize::MAX, vm))
+    vms.max_by_key(|vm| score(service, WHOLE, vm))
 }
 
 /// Chooses holders for the slots of a service.
@@ -104,17 +125,43 @@
 /// score per VM for each service it guarded.
 #[derive(Clone, Debug, Default)]
 pub struct GuardianMap {
-    vms: BTreeSet<Name>,
-    services: BTreeMap<Name, Option<(u64, Name)>>,
+    vms: BTreeMap<Name, u64>,
+    services: BTreeMap<Name, Guarded>,
+}
+
+/// A service with its guardian.
+#[derive(Clone, Debug)]
+struct Guarded {
+    hash: u64,
+    best: Option<(u64, Name)>,
+}
+
+impl Guarded {
+    fn consider(&mut self, vm: &Name, vm_hash: u64) {
+        let score = combine(self.hash, vm_hash);
+        if self.best.as_ref().is_none_or(|(best, _)| score > *best) {
+            self.best = Some((score, vm.clone()));
+        }
+    }
+
+    fn consider_all(&mut self, vms: &BTreeMap<Name, u64>) {
+        self.best = None;
+        for (vm, vm_hash) in vms {
+            self.consider(vm, *vm_hash);
+        }
+    }
 }
 
 impl GuardianMap {
     /// Adds a service.
     pub fn add_service(&mut self, service: &Name) {
-        if !self.services.contains_key(service) {
-            let best = best(service, &self.vms);
-            self.services.insert(service.clone(), best);
+        if self.services.contains_key(service) {
+            return;
         }
+        let hash = hash_key(service, WHOLE);
+        let mut guarded = Guarded { hash, best: None };
+        guarded.consider_all(&self.vms);
+        self.services.insert(service.clone(), guarded);
     }
 
     /// Removes the services that `keep` does not name.
@@ -124,32 +171,35 @@
 
     /// Adds a VM.
     pub fn add_vm(&mut self, vm: &Name) {
-        if !self.vms.insert(vm.clone()) {
+        let vm_hash = hash_vm(vm);
+        if self.vms.insert(vm.clone(), vm_hash).is_some() {
             return;
         }
-        for (service, guardian) in &mut self.services {
-            let score = score(service, usize::MAX, vm);
-            if guardian.as_ref().is_none_or(|(best, _)| score > *best) {
-                *guardian = Some((score, vm.clone()));
-            }
+        for guarded in self.services.values_mut() {
+            guarded.consider(vm, vm_hash);
         }
     }
 
     /// Removes a VM.
     pub fn remove_vm(&mut self, vm: &Name) {
-        if !self.vms.remove(vm) {
+        if self.vms.remove(vm).is_none() {
             return;
         }
-        for (service, guardian) in &mut self.services {
-            if guardian.as_ref().is_some_and(|(_, g)| g == vm) {
-                *guardian = best(service, &self.vms);
+        for guarded in self.services.values_mut() {
+            if guarded.best.as_ref().is_some_and(|(_, best)| best == vm) {
+                guarded.consider_all(&self.vms);
             }
         }
     }
 
     /// Makes the VMs equal to `vms`.
     pub fn set_vms(&mut self, vms: &BTreeSet<Name>) {
-        let gone: Vec<Name> = self.vms.difference(vms).cloned().collect();
+        let gone: Vec<Name> = self
+            .vms
+            .keys()
+            .filter(|vm| !vms.contains(*vm))
+            .cloned()
+            .collect();
         for vm in &gone {
             self.remove_vm(vm);
         }
@@ -160,19 +210,14 @@
 
     /// Guardian of a service.
     pub fn guardian(&self, service: &str) -> Option<&Name> {
-        self.services.get(service)?.as_ref().map(|(_, vm)| vm)
+        let guarded = self.services.get(service)?;
+        guarded.best.as_ref().map(|(_, vm)| vm)
     }
 
     /// Services that a VM guards.
     pub fn guarded_by(&self, vm: &str) -> Vec<Name> {
-        let is_its =
-            |guardian: &Option<(u64, Name)>| guardian.as_ref().is_some_and(|(_, g)| **g == *vm);
+        let is_its = |guarded: &Guarded| guarded.best.as_ref().is_some_and(|(_, g)| **g == *vm);
         let services = self.services.iter().filter(|(_, g)| is_its(g));
         services.map(|(service, _)| service.clone()).collect()
     }
 }
-
-fn best(service: &str, vms: &BTreeSet<Name>) -> Option<(u64, Name)> {
-    let vm = guardian(service, vms.iter())?;
-    Some((score(service, usize::MAX, vm), vm.clone()))
-}
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -26,6 +26,7 @@
     decide::{
         acknowledge::{Acknowledge, Commit, Decision, Fate, fate},
         classify::Class,
+        retry::Backoff,
         route::Floor,
     },
     metrics::label,
@@ -38,6 +39,11 @@
 /// Longest time to find out what became of an unconfirmed commit, in
 /// milliseconds.
 const FATE_MS: u64 = 8_000;
+/// Delays between attempts at a request that was proved not run.
+const RETRY_BACKOFF: Backoff = Backoff {
+    base_ms: 5,
+    max_ms: 100,
+};
 /// Severity of an error after which the connection goes on.
 const ERROR: &str = "ERROR";
 /// Severity of an error after which the connection ends.
@@ -279,14 +285,7 @@
     }
 
     async fn pause(&self, failures: u32) {
-        use rand::{SeedableRng, rngs::SmallRng};
-        let backoff = crate::decide::retry::Backoff {
-            base_ms: 5,
-            max_ms: 100,
-            has_jitter: true,
-        };
-        let mut rng = SmallRng::from_rng(&mut rand::rng());
-        let delay_ms = backoff.delay_ms(failures - 1, &mut rng);
+        let delay_ms = RETRY_BACKOFF.delay_ms(failures);
         compio::time::sleep(Duration::from_millis(delay_ms)).await;
     }
 
--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -64,8 +64,13 @@
 }
 
 impl Link {
-    /// Whether it may serve another request.
+    /// Whether it may serve another request now.
     pub fn is_reusable(&self) -> bool {
-        self.prepared.len() < PREPARED_MAX && !self.wire.is_stale()
+        !self.is_worn() && !self.wire.is_stale()
+    }
+
+    /// Whether it has served so many statements that a new one is better.
+    pub fn is_worn(&self) -> bool {
+        self.prepared.len() >= PREPARED_MAX
     }
 }
--- a/src/proxy/slot/task.rs
+++ b/src/proxy/slot/task.rs
@@ -317,7 +317,7 @@
         if is_clean {
             self.members[member].served_ms = clock::now_ms();
         }
-        if is_clean && is_known && !over && link.is_reusable() {
+        if is_clean && is_known && !over && !link.is_worn() {
             self.members[member].idle.push(link);
         }
     }
--- a/src/proxy/trunk.rs
+++ b/src/proxy/trunk.rs
@@ -106,7 +106,7 @@
                     continue;
                 };
                 let group = groups.entry((service, vm.clone())).or_default();
-                if group.idle.len() < IDLE_MAX && link.is_reusable() {
+                if group.idle.len() < IDLE_MAX && !link.is_worn() {
                     group.idle.push(link);
                 }
             }
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -42,9 +42,6 @@
         /// Longest time a read waits for a replica to catch up, in milliseconds.
         #[garde(range(max = 60_000))]
         replica_wait_ms: u64,
-        /// Most retries that may be saved up.
-        #[garde(range(max = 100_000))]
-        retry_budget: u32,
         /// Silence after which a primary counts as failed, in milliseconds.
         #[garde(range(min = 200, max = 5_000))]
         detect_ms: u64,
@@ -83,9 +80,6 @@
     /// Longest time a read waits for a replica to catch up, in milliseconds.
     #[builder(default = 25)]
     pub replica_wait_ms: u64,
-    /// Most retries that may be saved up.
-    #[builder(default = 20)]
-    pub retry_budget: u32,
     /// Silence after which a primary counts as failed, in milliseconds.
     #[builder(default = 1_000)]
     pub detect_ms: u64,
@@ -128,21 +122,15 @@
             .maybe_queue_deadline_ms(part.queue_deadline_ms)
             .maybe_queue_length(part.queue_length)
             .maybe_replica_wait_ms(part.replica_wait_ms)
-            .maybe_retry_budget(part.retry_budget)
             .maybe_detect_ms(part.detect_ms)
             .build();
-        if settings.connections < settings.slots {
-            let text = "must be at least the number of slots";
+        if settings.connections < 2 * (settings.slots + 1) {
+            let text = "must be at least twice the number of slots and one more";
             return Err(SettingsError::merged(format!("{key}.connections"), text));
         }
         Ok(settings)
     }
 
-    /// Connections to each member that one slot may hold open.
-    pub fn connections_per_slot(&self) -> usize {
-        (self.connections / self.slots) as usize
-    }
-
     /// Members in order: their index is used by decisions.
     pub fn member_list(&self) -> Vec<(Name, MemberSettings)> {
         let members = self.members.iter();
--- a/standin/src/bin/load.rs
+++ b/standin/src/bin/load.rs
@@ -64,7 +64,11 @@
     Idle,
     /// Cost of control at several sizes.
     #[bpaf(command)]
-    Slopes,
+    Slopes {
+        /// Number of VMs; without it what does not grow with it.
+        #[bpaf(argument("COUNT"))]
+        vms: Option<usize>,
+    },
     /// Cost of control in real processes at several numbers of VMs.
     #[bpaf(command)]
     Control {
@@ -93,7 +97,8 @@
             prepared,
         } => measure_latency(length_s, rate, prepared),
         Command::Idle => measure_idle(),
-        Command::Slopes => slopes::run(),
+        Command::Slopes { vms: Some(vms) } => slopes::run_at(vms),
+        Command::Slopes { vms: None } => slopes::run(),
         Command::Control { length_s } => slopes::control(Duration::from_secs(length_s)),
     }
 }
--- a/standin/src/load/slopes.rs
+++ b/standin/src/load/slopes.rs
@@ -35,21 +35,22 @@
 use super::usage::Usage;
 use crate::bench::{Bench, BenchSettings};
 
-/// Numbers of VMs at which decisions are measured; the last is the target.
-const VMS: [usize; 4] = [575, 1_150, 2_300, 4_600];
 /// Services for each VM at the target.
 const SERVICES_PER_VM: f64 = 11_000.0 / 4_600.0;
 /// Seed of everything random here.
 const SEED: u64 = 7;
 
-/// Measures decisions and prints a JSON line for each.
+/// Measures what grows with the number of VMs; one process for one number, so
+/// that memory of an earlier measurement does not hide that of a later one.
+pub fn run_at(vms: usize) {
+    measure_site(vms);
+    measure_guardians(vms);
+    measure_membership(vms);
+    measure_spread(vms);
+}
+
+/// Measures the other decisions.
 pub fn run() {
-    for vms in VMS {
-        measure_membership(vms);
-        measure_guardians(vms);
-        measure_site(vms);
-        measure_spread(vms);
-    }
     measure_placement();
     measure_messages();
     measure_failover();
