Replace a leaving primary; give a leaving member no new work

A primary marked as leaving kept its writes for ever, or had the service stop had it counted as unusable. The delegate now hands over to a member that stays, once all answer; the slot lets it write until then. Proof: a_member_that_leaves_gets_no_new_work, for a replica and the primary, 5 s.

--- a/src/control/delegate.rs
+++ b/src/control/delegate.rs
@@ -86,7 +86,12 @@
         let settings = FailoverSettings::builder()
             .detect_ms(context.settings.detect_ms)
             .build();
-        let failover = Failover::new(settings, list.len(), clock::now_ms());
+        let leaving = list
+            .iter()
+            .enumerate()
+            .filter(|(_, (_, member))| member.leaving);
+        let failover = Failover::new(settings, list.len(), clock::now_ms())
+            .leaving(leaving.map(|(index, _)| index));
         let operations = list.iter().enumerate().map(|(index, (_, member))| {
             let target = Target {
                 address: member.address,
--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -167,6 +167,7 @@
     reserved: std::ops::Range<u64>,
     reserve_asked_ms: Option<u64>,
     preferred: Option<usize>,
+    leaving: BTreeSet<usize>,
     started_ms: u64,
     paused_until_ms: u64,
 }
@@ -181,11 +182,19 @@
             reserved: 0..0,
             reserve_asked_ms: None,
             preferred: None,
+            leaving: BTreeSet::new(),
             started_ms: now_ms,
             paused_until_ms: 0,
         }
     }
 
+    /// Marks members that are leaving: a primary among them is replaced, and
+    /// none of them is promoted while another can be.
+    pub fn leaving(mut self, members: impl IntoIterator<Item = usize>) -> Failover {
+        self.leaving = members.into_iter().collect();
+        self
+    }
+
     /// Name of the current phase.
     pub fn phase(&self) -> PhaseName {
         match self.phase {
@@ -359,6 +368,8 @@
             Phase::Watching => {
                 if self.is_in_doubt(now_ms) {
                     self.doubt();
+                } else if self.must_hand_over(now_ms) {
+                    return self.raise(now_ms);
                 }
                 Vec::new()
             }
@@ -379,6 +390,17 @@
         !self.primary_answers() || self.replicas_miss_primary(now_ms)
     }
 
+    /// Whether the primary is leaving and all the others answer.
+    fn must_hand_over(&self, now_ms: u64) -> bool {
+        let is_leaving = self.primary().is_some_and(|p| self.leaving.contains(&p));
+        let all_answer = self
+            .members
+            .iter()
+            .all(|m| m.status.is_some() && m.failures == 0);
+        let has_other = self.leaving.len() < self.members.len();
+        is_leaving && all_answer && has_other && now_ms >= self.paused_until_ms
+    }
+
     /// Whether the last probe of the primary was answered.
     fn primary_answers(&self) -> bool {
         match self.primary() {
@@ -489,8 +511,12 @@
         if let Some(suspect) = suspect {
             others.remove(suspect);
         }
+        let mut staying = others.clone();
+        staying.retain(|member, _| !self.leaving.contains(member));
         let is_late = now_ms >= since_ms + self.settings.step_ms / 2;
-        let chosen = if others.len() >= majority {
+        let chosen = if staying.len() >= majority {
+            most_advanced(&staying, self.preferred)
+        } else if others.len() >= majority {
             most_advanced(&others, self.preferred)
         } else if is_late && answers.len() >= majority {
             most_advanced(answers, self.preferred)
--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -84,12 +84,18 @@
 impl MemberView {
     /// Whether requests may be sent to it.
     pub fn is_usable(&self) -> bool {
-        self.failures == 0 && !self.is_leaving && self.observation.is_some()
+        self.answers() && !self.is_leaving
+    }
+
+    /// Whether it answers.
+    pub fn answers(&self) -> bool {
+        self.failures == 0 && self.observation.is_some()
     }
 }
 
-/// Index of the current primary: the usable one that leads in the highest term
-/// that any member has promised to.
+/// Index of the current primary: the one that answers and leads in the highest
+/// term that any member has promised to. A primary that is leaving keeps its
+/// writes until the delegate has replaced it.
 pub fn primary(members: &[MemberView]) -> Option<usize> {
     primary_of(members.iter())
 }
@@ -102,5 +108,5 @@
         let status = m.observation.map(|o| o.status);
         status.is_some_and(|s| s.role == Role::Primary && s.term == highest)
     };
-    members.clone().position(|m| m.is_usable() && leads(m))
+    members.clone().position(|m| m.answers() && leads(m))
 }
--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -135,10 +135,10 @@
         if let Some(changes) = in_force.and_then(|version| self.changes_after(version)) {
             return Plan::Changes(changes);
         }
-        let changes = self
-            .changes_after(self.snapshot.version)
-            .unwrap_or_default();
-        Plan::Snapshot(self.snapshot.clone(), changes)
+        match self.changes_after(self.snapshot.version) {
+            Some(changes) => Plan::Snapshot(self.snapshot.clone(), changes),
+            None => Plan::ReadRow,
+        }
     }
 
     fn changes_after(&self, version: u64) -> Option<Vec<ChangeRef>> {
--- a/src/proxy/slot/task.rs
+++ b/src/proxy/slot/task.rs
@@ -522,7 +522,9 @@
     /// Decides again for reads whose member no longer answers.
     fn rescue_reads(&mut self, now_ms: u64) {
         for index in 0..self.members.len() {
-            if self.members[index].view.is_usable() || self.members[index].ready.is_empty() {
+            let view = &self.members[index].view;
+            let is_usable = view.is_usable() || self.primary() == Some(index);
+            if is_usable || self.members[index].ready.is_empty() {
                 continue;
             }
             for ready in self.members[index].ready.drain() {
@@ -662,7 +664,7 @@
     fn open(&mut self, index: usize, wanted: usize, now_ms: u64) {
         let capacity = self.capacity;
         let member = &mut self.members[index];
-        if now_ms < member.open_after_ms || !member.view.is_usable() {
+        if now_ms < member.open_after_ms || !member.view.answers() {
             return;
         }
         while member.opening < wanted && member.open < capacity {
--- a/standin/src/bench/endpoint.rs
+++ b/standin/src/bench/endpoint.rs
@@ -17,6 +17,17 @@
     pub synced_term: u64,
 }
 
+/// What a member has counted of foxtailknot.
+#[derive(Clone, Copy, Debug)]
+pub struct Counts {
+    /// Connections open now.
+    pub open: usize,
+    /// Most connections at once.
+    pub peak: usize,
+    /// Statements on data.
+    pub statements: usize,
+}
+
 /// A member as a process.
 pub struct EndpointProcess {
     /// Address.
@@ -94,11 +105,15 @@
         ));
     }
 
-    /// Connections of foxtailknot: open now, and most at once.
-    pub fn connections(&self) -> Option<(usize, usize)> {
+    /// What the member has counted of foxtailknot.
+    pub fn counts(&self) -> Option<Counts> {
         let text = self.call("SELECT dbgroup_connections()")?.pop()??;
-        let (open, peak) = text.split_once(',')?;
-        Some((open.parse().ok()?, peak.parse().ok()?))
+        let mut numbers = text.split(',').map(|n| n.parse().ok());
+        Some(Counts {
+            open: numbers.next()??,
+            peak: numbers.next()??,
+            statements: numbers.next()??,
+        })
     }
 
     /// What the member says of itself.
--- a/standin/src/endpoint/member.rs
+++ b/standin/src/endpoint/member.rs
@@ -58,6 +58,8 @@
     pub open_connections: AtomicUsize,
     /// Most connections of foxtailknot open at once so far.
     pub peak_connections: AtomicUsize,
+    /// Statements on data that foxtailknot's connections ran.
+    pub statements: AtomicUsize,
     /// Set while the member answers nobody but its operator.
     pub silent: AtomicBool,
     state: Mutex<State>,
@@ -81,6 +83,7 @@
             epoch: watch::Sender::new(0),
             open_connections: AtomicUsize::new(0),
             peak_connections: AtomicUsize::new(0),
+            statements: AtomicUsize::new(0),
             silent: AtomicBool::new(false),
             state: Mutex::new(state),
             committed: Notify::new(),
--- a/standin/src/endpoint/operator.rs
+++ b/standin/src/endpoint/operator.rs
@@ -113,7 +113,8 @@
         "dbgroup_connections" => {
             let open = member.open_connections.load(Ordering::Relaxed);
             let peak = member.peak_connections.load(Ordering::Relaxed);
-            one(name, format!("{open},{peak}"))
+            let statements = member.statements.load(Ordering::Relaxed);
+            one(name, format!("{open},{peak},{statements}"))
         }
         _ => return Err(SqlError::new("42883", format!("no function {name}"))),
     })
--- a/standin/src/endpoint/session.rs
+++ b/standin/src/endpoint/session.rs
@@ -174,6 +174,9 @@
         transaction: &mut Transaction,
         statement: Statement,
     ) -> Result<Answer, SqlError> {
+        if self.is_counted.load(Ordering::Relaxed) {
+            self.member.statements.fetch_add(1, Ordering::Relaxed);
+        }
         if self.is_read(&statement.sql, transaction.guard.is_some())? {
             let state = self.member.state();
             let db = match transaction.guard {
--- a/standin/src/load/writers.rs
+++ b/standin/src/load/writers.rs
@@ -15,6 +15,8 @@
 
 /// Table that the sessions write to.
 pub const TABLE_SQL: &str = "CREATE TABLE entries (key TEXT NOT NULL, half INTEGER)";
+/// Writes of a session between two transactions of a pair.
+const PAIR_EVERY: usize = 5;
 /// Pause after a failed request.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -148,12 +150,47 @@
             let seen = values.first().and_then(|v| v.parse().ok()).unwrap_or(0);
             note(&log, started, Event::Read { session, key, seen }, None);
         }
+        if number % PAIR_EVERY == 0 && !plan.moves {
+            run_pair(&mut caller, session, number, &plan.prefix, &log, started).await;
+        }
         if !plan.pace.is_zero() {
             tokio::time::sleep(plan.pace).await;
         }
     }
 }
 
+/// Writes two halves in one transaction and counts them at once afterwards.
+async fn run_pair(
+    caller: &mut Caller,
+    session: usize,
+    number: usize,
+    prefix: &str,
+    log: &Mutex<Log>,
+    started: Instant,
+) {
+    let key = format!("{prefix}-{session}-{number}-pair");
+    let mut ended = caller.run("BEGIN").await.map(|_| ());
+    for half in [1, 2] {
+        let sql = format!("INSERT INTO entries (key, half) VALUES ('{key}-{half}', {half})");
+        if ended.is_ok() {
+            ended = caller.run(&sql).await.map(|_| ());
+        }
+    }
+    if ended.is_ok() {
+        ended = caller.run("COMMIT").await.map(|_| ());
+    }
+    if ended.is_err() {
+        // Whether it was open or not, it must not be open for what follows.
+        let _ = caller.run("ROLLBACK").await;
+    }
+    let sql = format!("SELECT count(*) FROM entries WHERE key LIKE '{key}-%'");
+    if let Ok(values) = caller.run(&sql).await {
+        let halves = values.first().and_then(|v| v.parse().ok()).unwrap_or(0);
+        let failed = ended.as_ref().err();
+        note(log, started, Event::Pair { session, halves }, failed);
+    }
+}
+
 fn note(log: &Mutex<Log>, started: Instant, event: Event, failed: Option<&super::caller::Failed>) {
     let mut log = log.lock().expect("no session panics");
     let is_done = matches!(
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -94,7 +94,7 @@
     assert_eq!(violations, Vec::<Violation>::new(), "{:?}", log.failures);
     let budget = bench.settings.connections as usize;
     for member in &bench.endpoints[0] {
-        let (_, peak) = member.connections().unwrap();
+        let peak = member.counts().unwrap().peak;
         assert!(peak <= budget, "{peak} connections of {budget}");
     }
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -3,7 +3,7 @@
 
 use std::{
     io::{Read, Write},
-    net::TcpStream,
+    net::{SocketAddr, TcpStream},
     time::Duration,
 };
 
@@ -239,7 +239,7 @@
     }
     let budget = bench.settings.connections as usize;
     for member in &bench.endpoints[0] {
-        let (_, peak) = member.connections().unwrap();
+        let peak = member.counts().unwrap().peak;
         assert!(peak <= budget, "{peak} connections of {budget}");
     }
     let mut client = bench.proxies[0].connect(&service).unwrap();
@@ -247,3 +247,94 @@
         first_value(&mut client, "SELECT count(*) FROM shades").as_deref() == Some("1200")
     });
 }
+
+/// Callers that leave in the middle of an answer, and answers that come late,
+/// never give anybody a piece of another's answer.
+#[test]
+fn late_and_abandoned_answers_reach_nobody_else() {
+    let (bench, service) = start();
+    let tasks: Vec<_> = (0..24)
+        .map(|index| {
+            let proxy = &bench.proxies[index % bench.proxies.len()];
+            let (config, address) = (proxy.config(&service), proxy.callers);
+            let service = service.clone();
+            std::thread::spawn(move || {
+                let mut client = config.connect(NoTls).unwrap();
+                for round in 0..10 {
+                    if index % 4 == 0 {
+                        abandon(address, &service);
+                    }
+                    let own = format!("{index}-{round}");
+                    client.simple_query("SELECT pg_sleep(0.01)").unwrap();
+                    let sql = format!("SELECT '{own}'");
+                    assert_eq!(first_value(&mut client, &sql), Some(own));
+                }
+            })
+        })
+        .collect();
+    for task in tasks {
+        task.join().unwrap();
+    }
+}
+
+/// Asks for a long answer and leaves before it has come.
+fn abandon(address: SocketAddr, service: &str) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let mut config = tokio_postgres::Config::new();
+    config.host(address.ip().to_string());
+    config.port(address.port());
+    config.user("bench");
+    config.dbname(service);
+    runtime.block_on(async {
+        let (client, connection) = config.connect(NoTls).await.unwrap();
+        let connection = tokio::spawn(connection);
+        let long = "SELECT hex(zeroblob(3000000))";
+        let asked = client.simple_query(long);
+        // Whether the answer was on its way or not, the caller is gone.
+        let _ = tokio::time::timeout(Duration::from_millis(2), asked).await;
+        connection.abort();
+    });
+}
+
+/// Neither a replica nor a primary that is marked as leaving gets work after
+/// the stated time; the primary is replaced.
+#[test]
+fn a_member_that_leaves_gets_no_new_work() {
+    let (bench, service) = start();
+    for leaving in [1, 0] {
+        let path = bench.folder().join("leaving.yaml");
+        let base = bench.folder().join("base.yaml");
+        let member = format!("member-{leaving}");
+        let text = format!(
+            "services: {{ {service}: {{ members: {{ {member}: {{ leaving: true }} }} }} }}"
+        );
+        std::fs::write(&path, text).unwrap();
+        let args = ["config", "apply", "--base", base.to_str().unwrap()];
+        let args = [&args[..], &["--overlay", path.to_str().unwrap()]].concat();
+        bench.tool(&args).unwrap();
+        let member = &bench.endpoints[0][leaving];
+        let statements = || member.counts().unwrap().statements;
+        let mut clients: Vec<Client> = bench
+            .proxies
+            .iter()
+            .map(|proxy| proxy.connect(&service).unwrap())
+            .collect();
+        let mut work = || {
+            for client in &mut clients {
+                client
+                    .batch_execute("INSERT INTO shades (name) VALUES ('a')")
+                    .unwrap();
+                client.simple_query("SELECT count(*) FROM shades").unwrap();
+            }
+        };
+        wait_until("it gets no new work", Duration::from_secs(5), || {
+            let before = statements();
+            (0..5).for_each(|_| work());
+            statements() == before
+        });
+    }
+    assert_ne!(bench.primary(0), Some(0));
+}
