Lose nothing in two failovers in a row; find a silent primary sooner

The fate of a commit is not judged by a primary of a later term than the barrier's.

Gaps: a delegate probed once a second also when replicas had lost their primary. Commits that nobody confirms for 300 ms, stalled answers and failed traffic on any VM now make it probe at once, and replicas that have not heard for half of detect_ms keep it probing every 100 ms.

Control bytes: calm probes of members every 2 s, 16 changes in the head row instead of 64, two in news, three times log2 sends of a membership change.

--- a/src/control/node/members.rs
+++ b/src/control/node/members.rs
@@ -28,7 +28,7 @@
 /// Interval between questions to seeds, in milliseconds.
 const SEED_INTERVAL_MS: u64 = 500;
 /// Bytes of the platform's list that may be read in a second, on average.
-const LIST_BYTES_PER_S: u64 = 500;
+const LIST_BYTES_PER_S: u64 = 200;
 /// Bytes of one VM in the platform's list.
 const LIST_ROW_BYTES: u64 = 160;
 
--- a/src/control/node/message.rs
+++ b/src/control/node/message.rs
@@ -167,6 +167,8 @@
     },
     /// A slot on this VM lost its primary.
     PrimaryFailed(Name),
+    /// A slot on another VM lost its primary.
+    DoubtHeard(Name),
     /// An operator asks for this VM's report.
     Status {
         /// Answer.
--- a/src/control/node/mod.rs
+++ b/src/control/node/mod.rs
@@ -25,6 +25,7 @@
 use crate::{
     clock,
     decide::{
+        failover::Event,
         membership::{Membership, MembershipSettings, Place},
         placement::GuardianMap,
         rollout::{Head, SiteChange},
@@ -246,6 +247,9 @@
                 term,
             } => self.promoted(service, member, term),
             NodeMessage::PrimaryFailed(service) => self.primary_failed(&service),
+            NodeMessage::DoubtHeard(service) => {
+                self.tell_delegate(&service, Event::TrafficFailed);
+            }
             NodeMessage::Status { reply } => self.status(reply),
             NodeMessage::OrderFailover {
                 service,
--- a/src/control/node/services.rs
+++ b/src/control/node/services.rs
@@ -5,6 +5,7 @@
 use super::{Node, NodeMessage, OwnDelegate, OwnSlot};
 use crate::{
     control::delegate::{DelegateContext, DelegateHandle},
+    decide::failover::Event,
     prelude::*,
     proxy::{
         context::Locate,
@@ -15,6 +16,9 @@
     settings::ServiceSettings,
 };
 
+/// Longest wait for a delegate that is told of a doubt.
+const DOUBT_TIMEOUT: Duration = Duration::from_millis(300);
+
 impl Node {
     /// Takes over the services of the configuration.
     pub(super) fn take_site(&mut self) {
@@ -205,10 +209,26 @@
 
     /// A slot on this VM lost its primary: the delegate should look at once.
     pub(super) fn primary_failed(&mut self, service: &Name) {
-        if let Some(own) = self.delegates.get(service) {
-            own.handle
-                .send(crate::decide::failover::Event::TrafficFailed);
+        if self.delegates.contains_key(service) {
+            self.tell_delegate(service, Event::TrafficFailed);
+            return;
         }
+        let known = self.rows.get(service);
+        let delegate = known.and_then(|known| known.row.value.delegate.clone());
+        let Some(address) = delegate.and_then(|vm| self.address_of(&vm)) else {
+            return;
+        };
+        let peers = self.peers.clone();
+        let service = service.clone();
+        compio::runtime::spawn(async move {
+            // A delegate that does not hear of it finds out by its own probes.
+            let _ = peers
+                .call(address, DOUBT_TIMEOUT, async |client, context| {
+                    client.doubt_primary(context, service.clone()).await
+                })
+                .await;
+        })
+        .detach();
     }
 
     /// Makes the slot of a service look for its primary.
@@ -219,7 +239,7 @@
     }
 
     /// Sends the delegate of a service an event.
-    pub(super) fn tell_delegate(&self, service: &Name, event: crate::decide::failover::Event) {
+    pub(super) fn tell_delegate(&self, service: &Name, event: Event) {
         if let Some(own) = self.delegates.get(service) {
             own.handle.send(event);
         }
--- a/src/control/peer.rs
+++ b/src/control/peer.rs
@@ -77,6 +77,8 @@
     async fn row_changed(service: Name, row: Row<ServiceRow>);
     /// Whether this VM reaches a member as a primary.
     async fn reaches_primary(service: Name, member: Name) -> bool;
+    /// Tells the delegate of a service that its primary seems to fail.
+    async fn doubt_primary(service: Name);
     /// What this VM reports.
     async fn status() -> Option<VmStatus>;
     /// Orders a change of primary.
--- a/src/control/peer_server.rs
+++ b/src/control/peer_server.rs
@@ -110,6 +110,11 @@
         answer.unwrap_or(false)
     }
 
+    async fn doubt_primary(self, _: Context, service: Name) {
+        // A stopped control task is no delegate any more.
+        let _ = self.node.send(NodeMessage::DoubtHeard(service));
+    }
+
     async fn status(self, _: Context) -> Option<VmStatus> {
         self.ask(|reply| NodeMessage::Status { reply }).await
     }
--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Copy, Debug, Builder)]
 pub struct FailoverSettings {
     /// Interval of probes while all is well.
-    #[builder(default = 1_000)]
+    #[builder(default = 2_000)]
     pub probe_interval_ms: u64,
     /// Interval of probes while the primary is in doubt.
     #[builder(default = 100)]
@@ -331,7 +331,7 @@
 
     fn due_probes(&mut self, now_ms: u64) -> Vec<Action> {
         let interval_ms = match self.phase {
-            Phase::Watching => self.settings.probe_interval_ms,
+            Phase::Watching if !self.is_uneasy() => self.settings.probe_interval_ms,
             _ => self.settings.doubt_interval_ms,
         };
         let mut actions = Vec::new();
@@ -390,6 +390,15 @@
         !self.primary_answers() || self.replicas_miss_primary(now_ms)
     }
 
+    /// Whether a replica has not heard from its primary for so long that the
+    /// next probes must not wait.
+    fn is_uneasy(&self) -> bool {
+        let limit_ms = self.settings.detect_ms / 2;
+        let statuses = self.members.iter().filter_map(|m| m.status);
+        let mut replicas = statuses.filter(|s| s.role == Role::Replica);
+        replicas.any(|s| s.primary_seen_ms >= limit_ms)
+    }
+
     /// Whether the primary is leaving and all the others answer.
     fn must_hand_over(&self, now_ms: u64) -> bool {
         let is_leaving = self.primary().is_some_and(|p| self.leaving.contains(&p));
--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -24,7 +24,8 @@
     pub role: Role,
     /// Highest term it has promised to.
     pub term: u64,
-    /// Term whose log its own is known to be a prefix of.
+    /// Term that its log is in step with: it holds all that the term's primary
+    /// held when the term began, and nothing that this primary lacks.
     pub synced_term: u64,
     /// Last position received.
     pub received_lsn: Lsn,
--- a/src/decide/membership.rs
+++ b/src/decide/membership.rs
@@ -374,6 +374,6 @@
 
 /// Times that a change is sent on: enough to reach all of `vms` VMs.
 fn spread_limit(vms: usize) -> u32 {
-    const FACTOR: u32 = 4;
+    const FACTOR: u32 = 3;
     FACTOR * (usize::BITS - vms.leading_zeros()).max(1)
 }
--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -11,12 +11,12 @@
 };
 
 /// Changes after which the next one writes a new snapshot.
-pub const SNAPSHOT_INTERVAL: u64 = 32;
+pub const SNAPSHOT_INTERVAL: u64 = 16;
 /// Changes kept in the head row.
-pub const CHANGES_MAX: usize = 64;
+pub const CHANGES_MAX: usize = 16;
 
 /// Changes named when other VMs are told of a head.
-const NEWS_CHANGES: usize = 4;
+const NEWS_CHANGES: usize = 2;
 
 /// A change that made a version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -599,11 +599,14 @@
     let floor = Floor::Unknown;
     let granted = slot.acquire(Want::Begin { floor }, deadline_ms).await;
     let mut granted = granted.map_err(|_| unknown("no primary tells what became of the commit"))?;
-    let (Some(now), LinkTarget::Member { member, .. }) =
+    let (Some(now), LinkTarget::Member { member, term }) =
         (granted.floor, granted.link.target.clone())
     else {
         return Err(unknown("no primary tells what became of the commit"));
     };
+    if term != now.term {
+        return Err(unknown("the primary changed again meanwhile"));
+    }
     let asked = super::watch::term_at(&mut granted.link, commit.position.lsn);
     let found = compio::time::timeout(clock::until(deadline_ms), asked).await;
     let Ok(Ok(found)) = found else {
--- a/src/proxy/slot/task.rs
+++ b/src/proxy/slot/task.rs
@@ -38,6 +38,11 @@
 const OPEN_PAUSE_MS: u64 = 50;
 /// Time after which a primary is asked before it gets a write, in milliseconds.
 const VERIFIED_MS: u64 = 1_000;
+/// Questions in a row without an answer after which a member counts as gone.
+const FAILURES_GONE: u32 = 2;
+/// Time after which a commit that nobody confirms raises doubt of the primary,
+/// in milliseconds.
+const UNCONFIRMED_MS: u64 = 300;
 /// Time within which a member that answered counts as alive, in milliseconds.
 const ALIVE_MS: u64 = 1_000;
 
@@ -77,6 +82,7 @@
     commits: Vec<Pending>,
     checks: Vec<(usize, u64, u64, oneshot::Sender<bool>)>,
     ages: AgeTracker,
+    doubted_ms: u64,
     capacity: usize,
 }
 
@@ -124,6 +130,7 @@
             commits: Vec::new(),
             checks: Vec::new(),
             ages: AgeTracker::default(),
+            doubted_ms: 0,
             capacity,
             context,
             handle,
@@ -207,7 +214,7 @@
                 member,
                 term,
                 reply,
-            } => self.checks.push((member, term, clock::now_ms(), reply)),
+            } => self.check(member, term, reply),
             SlotMessage::Refresh => self.ask_all(),
             SlotMessage::Report { reply } => {
                 // The asker may have gone away.
@@ -414,6 +421,32 @@
         }
     }
 
+    fn check(&mut self, member: usize, term: u64, reply: oneshot::Sender<bool>) {
+        self.checks.push((member, term, clock::now_ms(), reply));
+        if self.primary() == Some(member) {
+            self.doubt_primary();
+        }
+    }
+
+    /// Lets the delegate probe at once.
+    fn doubt_primary(&mut self) {
+        self.doubted_ms = clock::now_ms();
+        // The delegate may be this VM or hear of it from its own probes.
+        let _ = self
+            .context
+            .primary_failed
+            .send(self.context.service.clone());
+    }
+
+    /// A primary whose commits nobody confirms may be cut off.
+    fn doubt_if_unconfirmed(&mut self, now_ms: u64) {
+        let oldest_ms = self.commits.iter().map(|p| p.commit.answered_ms).min();
+        let is_late = oldest_ms.is_some_and(|at| now_ms >= at + UNCONFIRMED_MS);
+        if is_late && now_ms >= self.doubted_ms + UNCONFIRMED_MS {
+            self.doubt_primary();
+        }
+    }
+
     fn answer_checks(&mut self, index: usize, asked_ms: u64) {
         let now_ms = clock::now_ms();
         let highest = self.highest_term();
@@ -425,7 +458,8 @@
             let is_recent = answered.is_some_and(|at| now_ms < at + ALIVE_MS);
             let is_asked = member == index && asked_ms >= since_ms;
             let is_failed = members[member].view.failures > 0;
-            if is_replaced || (is_failed && !is_recent) {
+            let fails_again = members[member].view.failures >= FAILURES_GONE;
+            if is_replaced || fails_again || (is_failed && !is_recent) {
                 let _ = reply.send(true);
             } else if is_asked && !is_failed {
                 let _ = reply.send(false);
@@ -492,6 +526,7 @@
             self.serve(member, now_ms);
         }
         self.answer_commits();
+        self.doubt_if_unconfirmed(now_ms);
         self.ask_needed(now_ms);
     }
 
--- a/standin/src/bench/endpoint.rs
+++ b/standin/src/bench/endpoint.rs
@@ -15,6 +15,8 @@
     pub term: u64,
     /// Term whose log it follows.
     pub synced_term: u64,
+    /// Time since it heard from its primary, in milliseconds.
+    pub primary_seen_ms: u64,
 }
 
 /// What a member has counted of foxtailknot.
@@ -124,6 +126,7 @@
             is_primary: value(0)? == "primary",
             term: value(1)?.parse().ok()?,
             synced_term: value(2)?.parse().ok()?,
+            primary_seen_ms: value(5)?.parse().ok()?,
         })
     }
 
--- a/standin/src/bin/load.rs
+++ b/standin/src/bin/load.rs
@@ -15,6 +15,11 @@
         slopes,
     },
 };
+use stats_alloc::INSTRUMENTED_SYSTEM;
+
+/// Counts the memory that decisions hold.
+#[global_allocator]
+static ALLOCATOR: &slopes::Counter = &INSTRUMENTED_SYSTEM;
 
 /// Measures foxtailknot on loopback.
 #[derive(Clone, Debug, Bpaf)]
@@ -59,6 +64,9 @@
         /// Use prepared statements.
         prepared: bool,
     },
+    /// A mixed load with one failover, in words.
+    #[bpaf(command)]
+    Demo,
     /// Memory of idle callers.
     #[bpaf(command)]
     Idle,
@@ -96,8 +104,9 @@
             rate,
             prepared,
         } => measure_latency(length_s, rate, prepared),
+        Command::Demo => demo(),
         Command::Idle => measure_idle(),
-        Command::Slopes { vms: Some(vms) } => slopes::run_at(vms),
+        Command::Slopes { vms: Some(vms) } => slopes::run_at(vms, ALLOCATOR),
         Command::Slopes { vms: None } => slopes::run(),
         Command::Control { length_s } => slopes::control(Duration::from_secs(length_s)),
     }
@@ -235,6 +244,40 @@
     }
 }
 
+fn demo() {
+    println!("starting the platform, three members and three proxies on loopback");
+    let settings = BenchSettings::builder().proxies(3).connect_ms(12).build();
+    let mut bench = Bench::start(settings);
+    println!("{}", bench.tool(&["status"]).unwrap_or_default());
+    let plan = SharePlan {
+        callers: 12,
+        reads: 200,
+        reads_per_write: 10,
+        moves: true,
+        carry: Carry::Nothing,
+        options: String::new(),
+        pace: Duration::from_millis(10),
+    };
+    println!("12 callers read and write; every request reaches another proxy");
+    let report = share::run(&bench, &plan);
+    let share = report.share() * 100.0;
+    println!(
+        "reads served by replicas: {share:.1} % (stale: {})",
+        report.stale
+    );
+    println!("8 sessions write; the primary is killed");
+    let report = failover::run(&mut bench, PrimaryFault::Kill, 8, false);
+    let (before, after) = report.primaries;
+    println!("member-{before} was replaced by member-{after}");
+    println!("failover gap: {} ms", report.gap.as_millis());
+    println!("failures that callers saw: {:?}", report.failures);
+    println!(
+        "of {} acknowledged writes, lost, doubled or misreported: {}",
+        report.done,
+        report.violations.len()
+    );
+}
+
 fn measure_idle() {
     let mut bench = Bench::start(BenchSettings::builder().proxies(1).build());
     for report in idle::run(&mut bench, &[500, 1_000, 2_000, 5_000]) {
--- a/standin/src/endpoint/state.rs
+++ b/standin/src/endpoint/state.rs
@@ -10,7 +10,8 @@
 pub struct State {
     /// Highest term this member has promised to.
     pub term: u64,
-    /// Term whose primary's log this log is known to be a prefix of.
+    /// Term that this log is in step with: it holds all that the term's primary
+    /// held when it began, and nothing else.
     pub synced_term: u64,
     /// Role in the group.
     pub role: Role,
@@ -18,8 +19,8 @@
     pub primary: Option<SocketAddr>,
     /// When a replica last heard from its primary.
     pub primary_seen: Instant,
-    /// Position up to which a member that came back empty is not in step.
-    pub rebuild_until: usize,
+    /// Position from which on the log is in step with the primary's term.
+    pub step_at: usize,
     /// Received entries with the time they arrived or were committed.
     pub log: Vec<(Entry, Instant)>,
     /// Entries applied to `committed`.
@@ -49,7 +50,7 @@
             role: Role::Replica,
             primary: None,
             primary_seen: Instant::now(),
-            rebuild_until: 0,
+            step_at: 0,
             log: Vec::new(),
             replayed: 0,
             cut: false,
--- a/standin/src/load/failover.rs
+++ b/standin/src/load/failover.rs
@@ -123,7 +123,9 @@
     heal(bench, fault, before);
     let log = runtime.block_on(writers.stop());
     bench.set_faults(&Faults::default());
-    let stored = stored(bench, after);
+    // Another member may lead by now.
+    let leader = bench.primary(0).expect("a member leads");
+    let stored = stored(bench, leader);
     FailoverReport {
         gap: log.gap_after(failed_at),
         failures: log.failures.clone(),
--- a/standin/src/load/slopes.rs
+++ b/standin/src/load/slopes.rs
@@ -2,6 +2,7 @@
 //! processes at several numbers of VMs.
 
 use std::{
+    alloc::System,
     collections::BTreeSet,
     hint::black_box,
     net::SocketAddr,
@@ -31,10 +32,14 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::index::sample};
 use serde_json::json;
+use stats_alloc::{Region, StatsAlloc};
 
 use super::usage::Usage;
 use crate::bench::{Bench, BenchSettings};
 
+/// Counts the memory that this process holds.
+pub type Counter = StatsAlloc<System>;
+
 /// Services for each VM at the target.
 const SERVICES_PER_VM: f64 = 11_000.0 / 4_600.0;
 /// Seed of everything random here.
@@ -42,10 +47,10 @@
 
 /// Measures what grows with the number of VMs; one process for one number, so
 /// that memory of an earlier measurement does not hide that of a later one.
-pub fn run_at(vms: usize) {
-    measure_site(vms);
-    measure_guardians(vms);
-    measure_membership(vms);
+pub fn run_at(vms: usize, counter: &Counter) {
+    measure_site(vms, counter);
+    measure_guardians(vms, counter);
+    measure_membership(vms, counter);
     measure_spread(vms);
 }
 
@@ -57,14 +62,14 @@
     measure_statement();
 }
 
-fn measure_membership(vms: usize) {
+fn measure_membership(vms: usize, counter: &Counter) {
     let mut rng = SmallRng::seed_from_u64(SEED);
-    let before = Usage::own();
+    let memory = Region::new(counter);
     let mut membership = new_membership();
     for index in 0..vms {
         membership.listed(0, &vm_name(index), &place_of(index), false);
     }
-    let after = Usage::own();
+    let memory_bytes = grown(&memory);
     let rounds = 2_000;
     let started = Instant::now();
     for round in 0..rounds {
@@ -82,23 +87,23 @@
         membership.tick(round);
     }
     print(json!({
-        "slope": "membership", "vms": vms, "memory_bytes": grown(before, after),
+        "slope": "membership", "vms": vms, "memory_bytes": memory_bytes,
         "probe_us": started.elapsed().as_secs_f64() * 1e6 / rounds as f64,
     }));
 }
 
-fn measure_guardians(vms: usize) {
+fn measure_guardians(vms: usize, counter: &Counter) {
     let services = (vms as f64 * SERVICES_PER_VM) as usize;
     let mut guardians = GuardianMap::default();
     let names: BTreeSet<_> = (0..vms).map(vm_name).collect();
-    let before = Usage::own();
+    let memory = Region::new(counter);
     let started = Instant::now();
     for index in 0..services {
         guardians.add_service(&format!("service-{index}").into());
     }
     guardians.set_vms(&names);
     let build = started.elapsed();
-    let after = Usage::own();
+    let memory_bytes = grown(&memory);
     let started = Instant::now();
     let rounds = 20;
     for index in 0..rounds {
@@ -118,15 +123,15 @@
         "replace_vm_us": replace.as_secs_f64() * 1e6,
         "look_us": look.as_secs_f64() * 1e6,
         "guarded": guarded as f64 / rounds as f64,
-        "memory_bytes": grown(before, after),
+        "memory_bytes": memory_bytes,
     }));
 }
 
-fn measure_site(vms: usize) {
+fn measure_site(vms: usize, counter: &Counter) {
     let services = (vms as f64 * SERVICES_PER_VM) as usize;
-    let before = Usage::own();
+    let memory = Region::new(counter);
     let site = new_site(services);
-    let after = Usage::own();
+    let memory_bytes = grown(&memory);
     let bytes = serde_json::to_vec(&site).map_or(0, |body| body.len());
     let mut changed = site.clone();
     let started = Instant::now();
@@ -139,7 +144,7 @@
         change.apply(&mut changed);
     }
     print(json!({
-        "slope": "configuration", "services": services, "memory_bytes": grown(before, after),
+        "slope": "configuration", "services": services, "memory_bytes": memory_bytes,
         "snapshot_bytes": bytes,
         "apply_us": started.elapsed().as_secs_f64() * 1e6 / rounds as f64,
     }));
@@ -439,11 +444,12 @@
     }
 }
 
-fn grown(before: Option<Usage>, after: Option<Usage>) -> u64 {
-    let (Some(before), Some(after)) = (before, after) else {
-        return 0;
-    };
-    after.memory_bytes.saturating_sub(before.memory_bytes)
+/// Bytes allocated since the region began and not freed.
+fn grown(region: &Region<'_, System>) -> usize {
+    let change = region.change();
+    change
+        .bytes_allocated
+        .saturating_sub(change.bytes_deallocated)
 }
 
 fn print(line: serde_json::Value) {
