Split the four largest files by job; classify by a table of cases

slot/task, caller, exchange and failover each had 530 to 860 lines and several jobs. Behaviour unchanged. A metric that nothing counted is gone.

--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -4,7 +4,15 @@
 //! of those that answered. Terms come from a block that the service's row
 //! reserves for this delegate, so that a promotion needs no table.
 
-use bon::Builder;
+mod action;
+mod doubt;
+mod event;
+mod promotion;
+mod settings;
+
+pub use action::Action;
+pub use event::Event;
+pub use settings::FailoverSettings;
 
 use super::member::{MemberStatus, Role};
 use crate::prelude::*;
@@ -13,108 +21,6 @@
 /// milliseconds.
 const RESERVE_RETRY_MS: u64 = 1_000;
 
-/// Times of the failover, in milliseconds.
-#[derive(Clone, Copy, Debug, Builder)]
-pub struct FailoverSettings {
-    /// Interval of probes while all is well.
-    #[builder(default = 2_000)]
-    pub probe_interval_ms: u64,
-    /// Interval of probes while the primary is in doubt.
-    #[builder(default = 100)]
-    pub doubt_interval_ms: u64,
-    /// Silence after which a primary counts as failed.
-    #[builder(default = 1_000)]
-    pub detect_ms: u64,
-    /// Time that a primary's probes fail before the others are asked.
-    #[builder(default = 300)]
-    pub doubt_ms: u64,
-    /// Time that opinions, raises and promotions may take.
-    #[builder(default = 500)]
-    pub step_ms: u64,
-    /// Time after a promotion before the next may start.
-    #[builder(default = 2_000)]
-    pub pause_ms: u64,
-}
-
-/// What the delegate hears.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time passed.
-    Tick,
-    /// A member answered a probe, or did not.
-    Probed {
-        /// Index of the member.
-        member: usize,
-        /// Its report.
-        status: Option<MemberStatus>,
-    },
-    /// Requests to the primary failed.
-    TrafficFailed,
-    /// The other slot holders said whether any of them reaches the primary.
-    Opinions {
-        /// Whether one reaches it.
-        reaches_primary: bool,
-    },
-    /// A member answered a raise, or did not.
-    Raised {
-        /// Index of the member.
-        member: usize,
-        /// Its report.
-        status: Option<MemberStatus>,
-    },
-    /// A member answered a promotion, or did not.
-    Promoted {
-        /// Index of the member.
-        member: usize,
-        /// Its report.
-        status: Option<MemberStatus>,
-    },
-    /// Terms were reserved.
-    Reserved {
-        /// First term.
-        from: u64,
-        /// First term that is not reserved.
-        until: u64,
-    },
-    /// An operator asks for another primary.
-    Order {
-        /// Member that is preferred if it is as advanced as any.
-        preferred: usize,
-    },
-}
-
-/// What the delegate does.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Ask a member for its report.
-    Probe(usize),
-    /// Ask the other slot holders whether they reach the primary.
-    AskOpinions(usize),
-    /// Raise the term on a member.
-    Raise {
-        /// Index of the member.
-        member: usize,
-        /// New term.
-        term: u64,
-    },
-    /// Promote a member.
-    Promote {
-        /// Index of the member.
-        member: usize,
-        /// Term raised before.
-        term: u64,
-    },
-    /// Tell everybody; write the row.
-    Announce {
-        /// Index of the new primary.
-        member: usize,
-        /// Its term.
-        term: u64,
-    },
-    /// Reserve more terms.
-    Reserve,
-}
-
 /// Why the failover is where it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -284,51 +190,6 @@
         }
     }
 
-    fn hear_raise(&mut self, now_ms: u64, member: usize, status: Option<MemberStatus>) {
-        self.record(now_ms, member, status);
-        let Phase::Raising { term, answers, .. } = &mut self.phase else {
-            return;
-        };
-        let Some(status) = status else { return };
-        if status.term == *term && status.synced_term > 0 {
-            answers.insert(member, status);
-        }
-    }
-
-    fn hear_promotion(
-        &mut self,
-        now_ms: u64,
-        member: usize,
-        status: Option<MemberStatus>,
-    ) -> Vec<Action> {
-        self.record(now_ms, member, status);
-        let Phase::Promoting {
-            term,
-            member: chosen,
-            ..
-        } = self.phase
-        else {
-            return Vec::new();
-        };
-        let leads = status.is_some_and(|s| s.role == Role::Primary && s.term == term);
-        if member != chosen || !leads {
-            return Vec::new();
-        }
-        self.phase = Phase::Watching;
-        self.preferred = None;
-        self.paused_until_ms = now_ms + self.settings.pause_ms;
-        vec![Action::Announce { member, term }]
-    }
-
-    fn order(&mut self, now_ms: u64, preferred: usize) -> Vec<Action> {
-        let is_busy = matches!(self.phase, Phase::Raising { .. } | Phase::Promoting { .. });
-        if is_busy || preferred >= self.members.len() {
-            return Vec::new();
-        }
-        self.preferred = Some(preferred);
-        self.raise(now_ms)
-    }
-
     fn due_probes(&mut self, now_ms: u64) -> Vec<Action> {
         let interval_ms = match self.phase {
             Phase::Watching if !self.is_uneasy() => self.settings.probe_interval_ms,
@@ -347,22 +208,6 @@
         actions
     }
 
-    fn reserve_if_short(&mut self, now_ms: u64) -> Option<Action> {
-        let is_asked = self
-            .reserve_asked_ms
-            .is_some_and(|at| now_ms < at + RESERVE_RETRY_MS);
-        if self.next_term().is_some() || is_asked {
-            return None;
-        }
-        self.reserve_asked_ms = Some(now_ms);
-        Some(Action::Reserve)
-    }
-
-    fn next_term(&self) -> Option<u64> {
-        let from = self.reserved.start.max(self.highest_term() + 1);
-        (from < self.reserved.end).then_some(from)
-    }
-
     fn advance(&mut self, now_ms: u64) -> Vec<Action> {
         match &self.phase {
             Phase::Watching => {
@@ -385,166 +230,6 @@
             }
         }
     }
-
-    fn is_in_doubt(&self, now_ms: u64) -> bool {
-        !self.primary_answers() || self.replicas_miss_primary(now_ms)
-    }
-
-    /// Whether a replica has not heard from its primary for so long that the
-    /// next probes must not wait.
-    fn is_uneasy(&self) -> bool {
-        let limit_ms = self.settings.detect_ms / 2;
-        let statuses = self.members.iter().filter_map(|m| m.status);
-        let mut replicas = statuses.filter(|s| s.role == Role::Replica);
-        replicas.any(|s| s.primary_seen_ms >= limit_ms)
-    }
-
-    /// Whether the primary is leaving and all the others answer.
-    fn must_hand_over(&self, now_ms: u64) -> bool {
-        let is_leaving = self.primary().is_some_and(|p| self.leaving.contains(&p));
-        let all_answer = self
-            .members
-            .iter()
-            .all(|m| m.status.is_some() && m.failures == 0);
-        let has_other = self.leaving.len() < self.members.len();
-        is_leaving && all_answer && has_other && now_ms >= self.paused_until_ms
-    }
-
-    /// Whether the last probe of the primary was answered.
-    fn primary_answers(&self) -> bool {
-        match self.primary() {
-            Some(primary) => self.members[primary].failures == 0,
-            // Before the first reports there is nothing to doubt.
-            None => self.members.iter().all(|m| m.status.is_none()),
-        }
-    }
-
-    /// Whether all but a minority of the members have lost the primary.
-    fn replicas_miss_primary(&self, now_ms: u64) -> bool {
-        let detect_ms = self.settings.detect_ms;
-        let misses = |seen: &&Seen| {
-            let (Some(status), Some(answered_ms)) = (seen.status, seen.answered_ms) else {
-                return false;
-            };
-            // What a member said earlier says nothing of the time since.
-            let is_recent = now_ms <= answered_ms + self.settings.doubt_interval_ms * 2;
-            is_recent && status.role == Role::Replica && status.primary_seen_ms >= detect_ms
-        };
-        self.members.iter().filter(misses).count() > self.members.len() / 2
-    }
-
-    fn advance_doubt(&mut self, now_ms: u64) -> Vec<Action> {
-        let missed = self.replicas_miss_primary(now_ms);
-        if self.primary_answers() && !missed && self.primary().is_some() {
-            self.phase = Phase::Watching;
-            return Vec::new();
-        }
-        if now_ms < self.paused_until_ms {
-            return Vec::new();
-        }
-        if missed {
-            return self.raise(now_ms);
-        }
-        self.weigh_opinions(now_ms)
-    }
-
-    /// Only this VM may have lost the primary: the other holders decide.
-    fn weigh_opinions(&mut self, now_ms: u64) -> Vec<Action> {
-        let primary = self.primary();
-        let fails_long = match primary {
-            Some(primary) => {
-                let seen = &self.members[primary];
-                let since_ms = seen.failing_since_ms.unwrap_or(now_ms);
-                seen.failures > 1 && now_ms >= since_ms + self.settings.doubt_ms
-            }
-            None => now_ms >= self.started_ms + self.settings.detect_ms,
-        };
-        let Phase::Doubting {
-            opinions_asked_ms,
-            nobody_reaches,
-        } = &mut self.phase
-        else {
-            return Vec::new();
-        };
-        if !fails_long {
-            return Vec::new();
-        }
-        if *nobody_reaches || primary.is_none() {
-            return self.raise(now_ms);
-        }
-        let is_asked = opinions_asked_ms.is_some_and(|at| now_ms < at + self.settings.step_ms);
-        if is_asked {
-            return Vec::new();
-        }
-        *opinions_asked_ms = Some(now_ms);
-        primary.map(Action::AskOpinions).into_iter().collect()
-    }
-
-    fn raise(&mut self, now_ms: u64) -> Vec<Action> {
-        let Some(term) = self.next_term() else {
-            return self.reserve_if_short(now_ms).into_iter().collect();
-        };
-        let suspect = match self.preferred {
-            // An operator's order does not mean that the primary is unwell.
-            Some(_) => None,
-            None => self.primary(),
-        };
-        self.reserved.start = term + 1;
-        self.phase = Phase::Raising {
-            term,
-            since_ms: now_ms,
-            answers: BTreeMap::new(),
-            suspect,
-        };
-        let members = 0..self.members.len();
-        members
-            .map(|member| Action::Raise { member, term })
-            .collect()
-    }
-
-    fn advance_raise(&mut self, now_ms: u64) -> Vec<Action> {
-        let Phase::Raising {
-            term,
-            since_ms,
-            answers,
-            suspect,
-        } = &self.phase
-        else {
-            return Vec::new();
-        };
-        let (term, since_ms) = (*term, *since_ms);
-        let majority = self.members.len() / 2 + 1;
-        // A primary that its replicas have lost may hold more than they do,
-        // but nothing acknowledged that a majority of the others lacks.
-        let mut others = answers.clone();
-        if let Some(suspect) = suspect {
-            others.remove(suspect);
-        }
-        let mut staying = others.clone();
-        staying.retain(|member, _| !self.leaving.contains(member));
-        let is_late = now_ms >= since_ms + self.settings.step_ms / 2;
-        let chosen = if staying.len() >= majority {
-            most_advanced(&staying, self.preferred)
-        } else if others.len() >= majority {
-            most_advanced(&others, self.preferred)
-        } else if is_late && answers.len() >= majority {
-            most_advanced(answers, self.preferred)
-        } else {
-            None
-        };
-        if let Some(member) = chosen {
-            self.phase = Phase::Promoting {
-                term,
-                member,
-                since_ms: now_ms,
-            };
-            return vec![Action::Promote { member, term }];
-        }
-        if now_ms >= since_ms + self.settings.step_ms {
-            return self.raise(now_ms);
-        }
-        Vec::new()
-    }
 }
 
 fn most_advanced(
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -42,8 +42,6 @@
     pub acknowledge_wait_ms: Histogram<f64>,
     /// Promotions by outcome.
     pub promotions: Counter<u64>,
-    /// Calls to the platform by kind and outcome.
-    pub platform_calls: Counter<u64>,
     /// Bytes of calls between VMs, by direction.
     pub peer_bytes: Counter<u64>,
 }
@@ -79,7 +77,6 @@
                 .f64_histogram("foxtailknot_acknowledge_wait_ms")
                 .build(),
             promotions: counter("foxtailknot_promotions"),
-            platform_calls: counter("foxtailknot_platform_calls"),
             peer_bytes: counter("foxtailknot_peer_bytes"),
             _provider: provider,
         })
--- /dev/null
+++ b/src/proxy/slot/task/connections.rs
@@ -0,0 +1,196 @@
+//! Connections: lent, taken back, opened.
+
+use super::*;
+
+impl Slot {
+    pub(super) fn release(&mut self, link: Link, is_clean: bool, held_us: u64) {
+        let LinkTarget::Member { member, .. } = link.target else {
+            return;
+        };
+        self.members[member].ready.record(held_us);
+        if Some(member) == self.primary() {
+            self.writes.record(held_us);
+        }
+        self.members[member].view.in_use = self.members[member].view.in_use.saturating_sub(1);
+        let is_known = link.address == self.members[member].target.address;
+        let over = self.members[member].open > self.capacity;
+        if is_clean {
+            self.members[member].served_ms = clock::now_ms();
+        }
+        if is_clean && is_known && !over && !link.is_worn() {
+            self.members[member].idle.push(link);
+        }
+    }
+
+    pub(super) fn closed(&mut self, member: usize) {
+        let member = &mut self.members[member];
+        member.open = member.open.saturating_sub(1);
+    }
+
+    pub(super) fn opened(&mut self, index: usize, result: crate::proxy::error::Result<Link>) {
+        let member = &mut self.members[index];
+        member.opening = member.opening.saturating_sub(1);
+        match result {
+            Ok(link) => member.idle.push(link),
+            Err(error) => {
+                log::warn!(
+                    target: "slot", service = &*self.context.service, member = &*member.name;
+                    "connection not opened: {error}"
+                );
+                member.open_after_ms = clock::now_ms() + OPEN_PAUSE_MS;
+                self.failed(index);
+            }
+        }
+    }
+
+    pub(super) fn failed(&mut self, index: usize) {
+        let was_primary = self.primary() == Some(index);
+        let member = &mut self.members[index];
+        member.view.failures += 1;
+        if was_primary {
+            // The delegate may be this VM or hear of it from its own probes.
+            let _ = self
+                .context
+                .primary_failed
+                .send(self.context.service.clone());
+        }
+        self.ask_all();
+    }
+
+    /// Lends connections of one member and opens more when requests wait.
+    pub(super) fn serve(&mut self, index: usize, now_ms: u64) {
+        let is_primary = self.primary() == Some(index);
+        loop {
+            let wants_write =
+                is_primary && !self.writes.is_empty() && self.is_verified(index, now_ms);
+            if self.members[index].ready.is_empty() && !wants_write {
+                return;
+            }
+            let Some(link) = self.members[index].pop_idle() else {
+                break;
+            };
+            if wants_write && let Some(acquire) = self.writes.pop() {
+                self.grant_write(index, link, acquire);
+            } else if let Some(ready) = self.members[index].ready.pop() {
+                self.grant_read(index, link, ready, is_primary, now_ms);
+            }
+        }
+        let mut wanted = self.members[index].ready.len();
+        if is_primary {
+            wanted += self.writes.len();
+        }
+        self.open(index, wanted, now_ms);
+    }
+
+    /// Whether a member has answered lately. A write must not be sent to a
+    /// primary that was replaced or froze while this slot was idle: its
+    /// outcome would not be known.
+    pub(super) fn is_verified(&self, index: usize, now_ms: u64) -> bool {
+        let member = &self.members[index];
+        let answered_ms = member.view.observation.map_or(0, |o| o.answered_ms);
+        now_ms <= answered_ms.max(member.served_ms) + VERIFIED_MS
+    }
+
+    pub(super) fn grant_write(&mut self, index: usize, link: Link, acquire: Acquire) {
+        let floor = match acquire.want {
+            Want::Begin {
+                floor: Floor::Known(position),
+            } => Some(position),
+            _ => None,
+        };
+        decision!(
+            "route", service = &*self.context.service, member = &*self.members[index].name,
+            reason = "write"; "granted"
+        );
+        self.grant(index, link, acquire, floor, "write", true);
+    }
+
+    pub(super) fn grant_read(
+        &mut self,
+        index: usize,
+        link: Link,
+        ready: Ready,
+        is_primary: bool,
+        now_ms: u64,
+    ) {
+        let waited_ms = now_ms.saturating_sub(ready.since_ms);
+        let kind = if is_primary { "primary" } else { "replica" };
+        decision!(
+            "route", service = &*self.context.service, member = &*self.members[index].name,
+            reason = ready.reason, waited_ms = waited_ms; "granted"
+        );
+        let labels = [
+            label("kind", kind),
+            label("reason", ready.reason),
+            name_label("service", &self.context.service),
+        ];
+        self.context.metrics.reads.add(1, &labels);
+        self.context
+            .metrics
+            .queue_wait_ms
+            .record(waited_ms as f64, &[]);
+        self.grant(
+            index,
+            link,
+            ready.acquire,
+            ready.floor,
+            ready.reason,
+            is_primary,
+        );
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        index: usize,
+        mut link: Link,
+        acquire: Acquire,
+        floor: Option<Position>,
+        reason: &'static str,
+        is_primary: bool,
+    ) {
+        let term = self.members[index]
+            .view
+            .observation
+            .map_or(0, |o| o.status.term);
+        link.target = LinkTarget::Member {
+            member: index,
+            term,
+        };
+        self.members[index].view.in_use += 1;
+        let granted = Granted {
+            link,
+            floor,
+            reason,
+            is_primary,
+        };
+        if let Err(Ok(granted)) = acquire.reply.send(Ok(granted)) {
+            // The caller went away while it waited.
+            self.members[index].view.in_use -= 1;
+            self.members[index].idle.push(granted.link);
+        }
+    }
+
+    pub(super) fn open(&mut self, index: usize, wanted: usize, now_ms: u64) {
+        let capacity = self.capacity;
+        let member = &mut self.members[index];
+        if now_ms < member.open_after_ms || !member.view.answers() {
+            return;
+        }
+        while member.opening < wanted && member.open < capacity {
+            member.open += 1;
+            member.opening += 1;
+            let target = member.target.clone();
+            let handle = self.handle.clone();
+            let give_back = self.handle.clone();
+            let permit = Permit::new(move || give_back.send(SlotMessage::Closed { member: index }));
+            compio::runtime::spawn(async move {
+                let result = connect(target, Some(permit)).await;
+                handle.send(SlotMessage::Opened {
+                    member: index,
+                    result,
+                });
+            })
+            .detach();
+        }
+    }
+}
--- a/standin/src/bench/mod.rs
+++ b/standin/src/bench/mod.rs
@@ -87,6 +87,11 @@
         format!("service-{index}")
     }
 
+    /// Addresses that callers use.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.proxies.iter().map(|proxy| proxy.callers).collect()
+    }
+
     /// Folder for files of this bench.
     pub fn folder(&self) -> &Path {
         self.folder.path()
--- a/standin/src/load/failover.rs
+++ b/standin/src/load/failover.rs
@@ -74,12 +74,8 @@
     sessions: usize,
     platform_down: bool,
 ) -> FailoverReport {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("a runtime can be made");
-    let addresses: Vec<_> = bench.proxies.iter().map(|p| p.callers).collect();
+    let runtime = super::runtime();
+    let addresses = bench.callers();
     let prefix = format!(
         "f{}",
         Instant::now().elapsed().as_nanos() ^ rand::random::<u128>()
--- a/standin/src/load/idle.rs
+++ b/standin/src/load/idle.rs
@@ -28,11 +28,7 @@
     let base = Usage::of(id).expect("the proxy runs").memory_bytes;
     let mut clients = Vec::new();
     let mut reports = Vec::new();
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("a runtime can be made");
+    let runtime = super::runtime();
     for &callers in steps {
         runtime.block_on(async {
             while clients.len() < callers {
--- a/standin/src/load/share.rs
+++ b/standin/src/load/share.rs
@@ -59,12 +59,8 @@
 pub fn run(bench: &Bench, plan: &SharePlan) -> ShareReport {
     create_table(bench);
     let before = counts(bench);
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("a runtime can be made");
-    let addresses: Vec<_> = bench.proxies.iter().map(|p| p.callers).collect();
+    let runtime = super::runtime();
+    let addresses = bench.callers();
     let service = bench.service(0);
     let mut times = hdrhistogram::Histogram::<u64>::new(3).expect("three digits are possible");
     let mut report = ShareReport::default();
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -55,7 +55,7 @@
     bench.endpoints[0][2].set_lag(3_000, 0);
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let _entered = runtime.enter();
-    let addresses: Vec<_> = bench.proxies.iter().map(|p| p.callers).collect();
+    let addresses = bench.callers();
     let plan = Plan {
         sessions: 4,
         writes: usize::MAX,
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -50,7 +50,7 @@
     create_table(&bench);
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let _entered = runtime.enter();
-    let addresses: Vec<_> = bench.proxies.iter().map(|p| p.callers).collect();
+    let addresses = bench.callers();
     let writers = Writers::start(&addresses, &bench.service(0), &plan(moves, carry));
     wait_until("writes land", TIMEOUT, || writers.done() >= 100);
     let victim = bench.holders(0)[0];
