--- a/standin/src/bench/mod.rs
+++ b/standin/src/bench/mod.rs
@@ -206,12 +206,24 @@
 
     /// Indices of the proxies that hold a slot of a service.
     pub fn holders(&self, service: usize) -> Vec<usize> {
-        let row = self.get(&format!("table/service/{}", self.service(service)));
-        let slots = row.and_then(|row| row["value"]["slots"].as_array().cloned());
-        let slots = slots.unwrap_or_default();
+        let row = self.row(service).unwrap_or_default();
+        let slots = row["slots"].as_array().cloned().unwrap_or_default();
         let names = slots.iter().filter_map(|slot| slot["vm"].as_str());
-        let index = |vm: &str| self.proxies.iter().position(|proxy| proxy.vm == vm);
-        names.filter_map(index).collect()
+        names.filter_map(|vm| self.proxy_named(vm)).collect()
+    }
+
+    /// Index of the proxy that is a service's delegate.
+    pub fn delegate(&self, service: usize) -> Option<usize> {
+        self.proxy_named(self.row(service)?["delegate"].as_str()?)
+    }
+
+    fn row(&self, service: usize) -> Option<serde_json::Value> {
+        let row = self.get(&format!("table/service/{}", self.service(service)))?;
+        Some(row["value"].clone())
+    }
+
+    fn proxy_named(&self, vm: &str) -> Option<usize> {
+        self.proxies.iter().position(|proxy| proxy.vm == vm)
     }
 
     /// As [`Bench::primary`], among all members but one.
--- a/standin/src/bin/load.rs
+++ b/standin/src/bin/load.rs
@@ -51,6 +51,15 @@
         sessions: usize,
         /// Also with the platform down.
         platform_down: bool,
+        /// Acknowledgement of the service.
+        #[bpaf(argument("MODE"), fallback("majority".into()))]
+        acknowledge: String,
+        /// Lag of the replicas, in milliseconds.
+        #[bpaf(argument("MS"), fallback(0))]
+        lag_ms: u64,
+        /// Only this fault.
+        #[bpaf(argument("FAULT"))]
+        fault: Option<PrimaryFault>,
     },
     /// Time and cost of a statement.
     #[bpaf(command)]
@@ -98,7 +107,21 @@
             runs,
             sessions,
             platform_down,
-        } => measure_failover(runs, sessions, platform_down),
+            acknowledge,
+            lag_ms,
+            fault,
+        } => {
+            let settings = BenchSettings::builder()
+                .proxies(3)
+                .connect_ms(12)
+                .ship_lag_ms(lag_ms)
+                .extra(vec![format!("acknowledge: {acknowledge}")])
+                .build();
+            let faults = fault.map_or(FAULTS.to_vec(), |fault| vec![fault]);
+            for fault in faults {
+                measure_failover(&settings, fault, runs, sessions, platform_down);
+            }
+        }
         Command::Latency {
             length_s,
             rate,
@@ -165,41 +188,47 @@
     }
 }
 
-fn measure_failover(runs: usize, sessions: usize, platform_down: bool) {
-    let faults = [
-        PrimaryFault::Kill,
-        PrimaryFault::Freeze,
-        PrimaryFault::CutFromPeers,
-        PrimaryFault::Silence,
-    ];
-    for fault in faults {
-        let mut gaps_ms = Vec::new();
-        for _ in 0..runs {
-            let settings = BenchSettings::builder().proxies(3).connect_ms(12).build();
-            let mut bench = Bench::start(settings);
-            failover::create_table(&bench);
-            let report = failover::run(&mut bench, fault, sessions, platform_down);
-            gaps_ms.push(report.gap.as_millis() as u64);
-            println!(
-                "{}",
-                json!({
-                    "measure": "failover", "fault": fault.to_string(),
-                    "platform_down": platform_down,
-                    "gap_ms": report.gap.as_millis() as u64, "done": report.done,
-                    "failures": report.failures, "violations": report.violations.len(),
-                })
-            );
-        }
-        gaps_ms.sort_unstable();
+const FAULTS: [PrimaryFault; 4] = [
+    PrimaryFault::Kill,
+    PrimaryFault::Freeze,
+    PrimaryFault::CutFromPeers,
+    PrimaryFault::Silence,
+];
+
+fn measure_failover(
+    settings: &BenchSettings,
+    fault: PrimaryFault,
+    runs: usize,
+    sessions: usize,
+    platform_down: bool,
+) {
+    let fault_name = fault.to_string();
+    let mut gaps_ms = Vec::new();
+    for _ in 0..runs {
+        let mut bench = Bench::start(settings.clone());
+        failover::create_table(&bench);
+        let report = failover::run(&mut bench, fault, sessions, platform_down);
+        let gap_ms = report.gap.as_millis() as u64;
+        gaps_ms.push(gap_ms);
         println!(
             "{}",
             json!({
-                "measure": "failover gap", "fault": fault.to_string(), "runs": runs,
-                "platform_down": platform_down, "p50_ms": gaps_ms[gaps_ms.len() / 2],
-                "max_ms": gaps_ms.last(),
+                "measure": "failover", "fault": fault_name, "service": settings.extra,
+                "lag_ms": settings.ship_lag_ms, "platform_down": platform_down,
+                "gap_ms": gap_ms, "done": report.done, "failures": report.failures,
+                "violations": report.violations.len(),
             })
         );
     }
+    gaps_ms.sort_unstable();
+    println!(
+        "{}",
+        json!({
+            "measure": "failover gap", "fault": fault_name, "service": settings.extra,
+            "lag_ms": settings.ship_lag_ms, "platform_down": platform_down,
+            "runs": runs, "p50_ms": gaps_ms[gaps_ms.len() / 2], "max_ms": gaps_ms.last(),
+        })
+    );
 }
 
 fn measure_latency(length_s: u64, rate: Option<u64>, prepared: bool) {
--- a/standin/src/load/failover.rs
+++ b/standin/src/load/failover.rs
@@ -26,6 +26,8 @@
 pub enum PrimaryFault {
     /// Its process is killed.
     Kill,
+    /// Its process is killed, and the VM that is the service's delegate too.
+    KillWithDelegate,
     /// Its process is stopped and continued after the failover.
     Freeze,
     /// It is cut off from its peers, but not from the proxies.
@@ -132,9 +134,13 @@
 }
 
 fn cause(bench: &mut Bench, fault: PrimaryFault, member: usize) {
+    if fault == PrimaryFault::KillWithDelegate {
+        let delegate = bench.delegate(0).expect("the service has a delegate");
+        bench.proxies[delegate].kill();
+    }
     let endpoint = &mut bench.endpoints[0][member];
     match fault {
-        PrimaryFault::Kill => endpoint.kill(),
+        PrimaryFault::Kill | PrimaryFault::KillWithDelegate => endpoint.kill(),
         PrimaryFault::Freeze => endpoint.freeze(),
         PrimaryFault::CutFromPeers => endpoint.cut(true),
         PrimaryFault::Silence => endpoint.silence(true),
@@ -143,7 +149,7 @@
 
 fn heal(bench: &mut Bench, fault: PrimaryFault, member: usize) {
     match fault {
-        PrimaryFault::Kill => bench.restart_endpoint(0, member),
+        PrimaryFault::Kill | PrimaryFault::KillWithDelegate => bench.restart_endpoint(0, member),
         PrimaryFault::Freeze => bench.endpoints[0][member].thaw(),
         PrimaryFault::CutFromPeers => bench.endpoints[0][member].cut(false),
         PrimaryFault::Silence => bench.endpoints[0][member].silence(false),
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -22,7 +22,7 @@
 
 /// Causes a fault under load and checks every promise.
 fn fails_over(fault: PrimaryFault, platform_down: bool) {
-    let settings = BenchSettings::builder().proxies(3).connect_ms(12).build();
+    let settings = BenchSettings::builder().proxies(5).connect_ms(12).build();
     let mut bench = Bench::start(settings);
     create_table(&bench);
     let report = run(&mut bench, fault, 8, platform_down);
@@ -35,6 +35,7 @@
 common::cases! {
     fails_over:
     a_killed_primary_is_replaced(PrimaryFault::Kill, false),
+    the_primary_and_its_delegate_are_lost_together(PrimaryFault::KillWithDelegate, false),
     a_frozen_primary_is_replaced(PrimaryFault::Freeze, false),
     a_primary_cut_from_its_peers_is_replaced(PrimaryFault::CutFromPeers, false),
     a_silent_primary_is_replaced(PrimaryFault::Silence, false),
