--- a/tests/decide_control.rs
+++ b/tests/decide_control.rs
@@ -113,7 +113,7 @@
     assert_eq!(own.peers()["b"].liveness, Liveness::Suspect);
     assert!(own.is_working("b"));
     assert!(own.tick(2_099).is_empty());
-    assert_eq!(own.tick(2_100), [other.clone()]);
+    assert_eq!(own.tick(2_100), std::slice::from_ref(&other));
     assert!(!own.is_working("b"));
     // The list lags: it does not revive the dead, nor does an old answer.
     own.listed(2_200, &other, &place_of("zone-1"), false);
