Drop the first attempt's answer before a request is run again

Found in reading the change: a request that a member refused as a write, or whose commit was discarded, was run again while what the first attempt had queued for the caller (ParseComplete, rows) stayed. Ruled out: broken connections, whose exchange already took its queued bytes back.

--- a/src/proxy/caller/conclude.rs
+++ b/src/proxy/caller/conclude.rs
@@ -59,7 +59,7 @@
         }
         let was_refused = answer.is_refused_as_write() && !answer.is_passed;
         if was_refused && !is_pinned && request.class != Class::BeginReadOnly {
-            return Ok(self.rerun(held));
+            return Ok(self.rerun(held, &answer));
         }
         if answer.status != IDLE {
             self.wire.push(&answer.held);
@@ -76,7 +76,7 @@
                 self.release(held, true);
                 let may_rerun = !is_pinned && !answer.is_passed;
                 if refusal.code == Code::TransactionDiscarded && may_rerun {
-                    return Ok(Attempt::Again(refusal));
+                    return Ok(self.again(&answer, refusal));
                 }
                 self.refuse(request, &refusal);
                 return Ok(Attempt::Done);
@@ -89,17 +89,22 @@
     }
 
     /// The member proved that the statement was not run.
-    pub(super) fn rerun(&mut self, held: Held) -> Attempt {
+    pub(super) fn rerun(&mut self, held: Held, answer: &Answer) -> Attempt {
         let was_primary = held.is_primary;
         if let Some(slot) = &held.slot
             && was_primary
         {
             slot.send(crate::proxy::slot::SlotMessage::Refresh);
         }
-        // What the member sent is dropped with the refused answer.
         self.release(held, true);
         let text = "the member refused the statement as a write";
-        Attempt::Again(Refusal::new(Code::ReadOnly, text))
+        self.again(answer, Refusal::new(Code::ReadOnly, text))
+    }
+
+    /// Tries again: nothing of this attempt's answer may reach the caller.
+    fn again(&mut self, answer: &Answer, refusal: Refusal) -> Attempt {
+        self.wire.output().truncate(answer.queued_from);
+        Attempt::Again(refusal)
     }
 
     /// Waits until a commit may be acknowledged; raises the session's position.
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -57,6 +57,8 @@
     pub held: BytesMut,
     /// Whether part of the answer has left this VM.
     pub is_passed: bool,
+    /// Length of the caller's output before anything of the answer was queued.
+    pub queued_from: usize,
 }
 
 impl Answer {
@@ -181,6 +183,7 @@
                 self.mark = 0;
             }
         }
+        self.answer.queued_from = self.mark;
         Ok(self.answer)
     }
 
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -95,6 +95,22 @@
     assert_eq!(violations, Vec::new(), "member {leader} leads");
 }
 
+/// A write that is run again after its primary was replaced gives its caller
+/// one answer, with nothing left of the first attempt's.
+#[test]
+fn a_repeated_write_has_one_answer() {
+    let bench = Bench::start(BenchSettings::builder().proxies(3).build());
+    create_table(&bench);
+    let mut client = bench.proxies[0].connect(&bench.service(0)).unwrap();
+    let sql = "INSERT INTO entries (key, half) VALUES ($1, 0) RETURNING key";
+    let insert = client.prepare(sql).unwrap();
+    bench.endpoints[0][0].cut(true);
+    let row = client.query_one(&insert, &[&"once"]).unwrap();
+    assert_eq!(row.get::<_, String>(0), "once");
+    let leader = bench.primary_without(0, 0).unwrap();
+    assert_eq!(stored(&bench, leader), ["once"]);
+}
+
 /// The checker sees what the confirmation is for: where the primary's answer
 /// is enough, a primary cut off from its peers loses acknowledged writes.
 #[test]
