Mend what reading the change showed; behaviour unchanged

One function raises a doubt of the primary (three copies). Whether a waiting request begins a transaction is read from what it wants instead of kept beside it, and the members' views are copied once per decision. Gone: a field and a method that nothing read, and a comment that promised connections ahead of need. Left: src/proxy/slot and src/control/node build similar calls to peers; their shapes agree, their answers do not.

--- a/src/decide/age.rs
+++ b/src/decide/age.rs
@@ -50,9 +50,4 @@
         let since_ms = reached.map_or(0, |(asked_ms, _)| now_ms.saturating_sub(*asked_ms));
         Some(behind_ms.saturating_sub(since_ms))
     }
-
-    /// Time of the newest observation, in milliseconds.
-    pub fn newest_ms(&self) -> Option<u64> {
-        self.seen.back().map(|(asked_ms, _)| *asked_ms)
-    }
 }
--- a/src/proxy/slot/message.rs
+++ b/src/proxy/slot/message.rs
@@ -48,8 +48,6 @@
     pub link: Link,
     /// Position that the reads on it are known to see.
     pub floor: Option<Position>,
-    /// Why this member.
-    pub reason: &'static str,
     /// Whether the member is the primary.
     pub is_primary: bool,
 }
--- a/src/proxy/slot/task.rs
+++ b/src/proxy/slot/task.rs
@@ -75,7 +75,6 @@
 struct Reading {
     acquire: Acquire,
     request: ReadRequest,
-    is_begin: bool,
 }
 
 struct Slot {
--- a/src/proxy/slot/task/connections.rs
+++ b/src/proxy/slot/task/connections.rs
@@ -48,11 +48,7 @@
         let member = &mut self.members[index];
         member.view.failures += 1;
         if was_primary {
-            // The delegate may be this VM or hear of it from its own probes.
-            let _ = self
-                .context
-                .primary_failed
-                .send(self.context.service.clone());
+            self.doubt_primary();
         }
         self.ask_all();
     }
@@ -102,7 +98,7 @@
             "route", service = &*self.context.service, member = &*self.members[index].name,
             reason = "write"; "granted"
         );
-        self.grant(index, link, acquire, floor, "write", true);
+        self.grant(index, link, acquire, floor, true);
     }
 
     pub(super) fn grant_read(
@@ -129,14 +125,7 @@
             .metrics
             .queue_wait_ms
             .record(waited_ms as f64, &[]);
-        self.grant(
-            index,
-            link,
-            ready.acquire,
-            ready.floor,
-            ready.reason,
-            is_primary,
-        );
+        self.grant(index, link, ready.acquire, ready.floor, is_primary);
     }
 
     pub(super) fn grant(
@@ -145,7 +134,6 @@
         mut link: Link,
         acquire: Acquire,
         floor: Option<Position>,
-        reason: &'static str,
         is_primary: bool,
     ) {
         let term = self.members[index]
@@ -160,7 +148,6 @@
         let granted = Granted {
             link,
             floor,
-            reason,
             is_primary,
         };
         if let Err(Ok(granted)) = acquire.reply.send(Ok(granted)) {
--- a/src/proxy/slot/task/reads.rs
+++ b/src/proxy/slot/task/reads.rs
@@ -5,13 +5,13 @@
 impl Slot {
     pub(super) fn acquire(&mut self, acquire: Acquire) {
         let now_ms = clock::now_ms();
-        let (floor, max_age_ms, is_begin) = match acquire.want {
+        let (floor, max_age_ms) = match acquire.want {
             Want::Write => return self.queue_write(acquire),
             Want::Begin {
                 floor: Floor::Known(_),
             } => return self.queue_write(acquire),
-            Want::Begin { floor } => (floor, None, true),
-            Want::Read { floor, max_age_ms } => (floor, max_age_ms, false),
+            Want::Begin { floor } => (floor, None),
+            Want::Read { floor, max_age_ms } => (floor, max_age_ms),
         };
         let wait_ms = self.context.settings.replica_wait_ms;
         let reading = Reading {
@@ -22,7 +22,6 @@
                 wait_until_ms: now_ms + wait_ms,
             },
             acquire,
-            is_begin,
         };
         self.decide_read(reading, now_ms);
     }
@@ -42,26 +41,23 @@
     /// Decides a read; keeps it when it has to wait for reports.
     pub(super) fn decide_read(&mut self, mut reading: Reading, now_ms: u64) {
         let mode = self.context.settings.acknowledge;
-        if reading.request.floor == Floor::Unknown {
-            match barrier(mode, &self.views(), reading.request.arrived_ms) {
-                Some(position) => reading.request.floor = Floor::Known(position),
-                None => {
-                    self.reading.push(reading);
-                    return;
-                }
-            }
-        }
-        if reading.is_begin {
-            let Floor::Known(position) = reading.request.floor else {
-                return;
-            };
-            reading.acquire.want = Want::Begin {
-                floor: Floor::Known(position),
-            };
+        let views = self.views();
+        let floor = match reading.request.floor {
+            Floor::Known(position) => Some(position),
+            Floor::Unknown => barrier(mode, &views, reading.request.arrived_ms),
+        };
+        let Some(position) = floor else {
+            self.reading.push(reading);
+            return;
+        };
+        let floor = Floor::Known(position);
+        reading.request.floor = floor;
+        if let Want::Begin { .. } = reading.acquire.want {
+            reading.acquire.want = Want::Begin { floor };
             self.queue_write(reading.acquire);
             return;
         }
-        match route(&reading.request, &self.views(), &self.ages, now_ms) {
+        match route(&reading.request, &views, &self.ages, now_ms) {
             route::Decision::Member(member, reason) => self.queue_read(member, reading, reason),
             _ => self.reading.push(reading),
         }
@@ -111,7 +107,6 @@
                 let reading = Reading {
                     acquire: ready.acquire,
                     request,
-                    is_begin: false,
                 };
                 self.decide_read(reading, now_ms);
             }
--- a/src/proxy/slot/task/reports.rs
+++ b/src/proxy/slot/task/reports.rs
@@ -26,10 +26,7 @@
                 member.next_ask_ms = now_ms + FAILED_PACE_MS;
                 member.view.failures += 1;
                 if before == Some(index) {
-                    let _ = self
-                        .context
-                        .primary_failed
-                        .send(self.context.service.clone());
+                    self.doubt_primary();
                 }
             }
         }
@@ -39,7 +36,7 @@
         self.answer_commits();
     }
 
-    /// Logs a change of primary and opens connections ahead of need.
+    /// Logs a change of primary.
     pub(super) fn note_primary(&mut self, before: Option<usize>) {
         let after = self.primary();
         if before == after {
