--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,7 +1,9 @@
-//! One monotonic clock per process.
+//! Monotonic clocks.
 
 use std::sync::LazyLock;
 
+use rustix::time::{ClockId, clock_gettime};
+
 use crate::prelude::*;
 
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
@@ -16,6 +18,18 @@
     START.elapsed().as_micros() as u64
 }
 
+/// Time since the machine started, in microseconds. Unlike [`now_us`] it goes
+/// on while the machine is suspended, so whatever expires is measured by it.
+pub fn boot_us() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
+}
+
+/// As [`boot_us`], in milliseconds.
+pub fn boot_ms() -> u64 {
+    boot_us() / 1_000
+}
+
 /// Time left until `deadline_ms`.
 pub fn until(deadline_ms: u64) -> Duration {
     Duration::from_millis(deadline_ms.saturating_sub(now_ms()))
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -15,9 +15,9 @@
         peer::News,
     },
     decide::rollout::SiteChange,
-    platform::ListedVm,
     prelude::*,
     settings::{SiteSettings, read_site},
+    store::ListedVm,
 };
 
 /// Longest wait for one VM.
--- a/src/cmd/context.rs
+++ b/src/cmd/context.rs
@@ -7,8 +7,8 @@
 use super::error::{CmdError, Result};
 use crate::{
     control::peer_clients::PeerClients,
-    platform::{ListedVm, PlatformClient},
     prelude::*,
+    store::{ListedVm, StoreClient},
 };
 
 /// Options of every subcommand that reaches the platform.
@@ -24,7 +24,7 @@
 /// Connections that a subcommand uses.
 pub struct Connections {
     /// The platform.
-    pub platform: PlatformClient,
+    pub platform: StoreClient,
     /// VMs.
     pub peers: PeerClients,
 }
@@ -37,7 +37,7 @@
     /// Returns an error when the HTTP client can't be set up.
     pub fn connect(&self) -> Result<Connections> {
         Ok(Connections {
-            platform: PlatformClient::new(self.platform)?,
+            platform: StoreClient::new(self.platform)?,
             peers: PeerClients::default(),
         })
     }
--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     control::{apply::ApplyError, daemon::DaemonError, peer_clients::PeerError},
-    platform::PlatformError,
     prelude::*,
     settings::SettingsError,
+    store::StoreError,
 };
 
 /// A failed command: a code and a line for a person.
@@ -42,8 +42,8 @@
     }
 }
 
-impl From<PlatformError> for CmdError {
-    fn from(error: PlatformError) -> CmdError {
+impl From<StoreError> for CmdError {
+    fn from(error: StoreError) -> CmdError {
         CmdError::new(error.code(), error)
     }
 }
--- a/src/cmd/service.rs
+++ b/src/cmd/service.rs
@@ -11,8 +11,8 @@
 use crate::{
     control::{apply, keys, peer::OrderAnswer, service_row::ServiceRow},
     decide::member::Role,
-    platform::Row,
     prelude::*,
+    store::Row,
 };
 
 /// Longest wait for a VM that gets an order.
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -8,7 +8,7 @@
     error::Result,
     table,
 };
-use crate::{control::status::VmStatus, platform::ListedVm, prelude::*};
+use crate::{control::status::VmStatus, prelude::*, store::ListedVm};
 
 /// Longest wait for one VM.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/src/control/apply.rs
+++ b/src/control/apply.rs
@@ -3,9 +3,9 @@
 use super::{ids, keys};
 use crate::{
     decide::rollout::{ChangeRef, Head, Plan, SiteChange},
-    platform::{PlatformClient, PlatformError, Row, Written},
     prelude::*,
     settings::SiteSettings,
+    store::{Row, StoreClient, StoreError, Written},
 };
 
 /// Why a configuration was not accepted.
@@ -15,7 +15,7 @@
     #[display("{source}")]
     Platform {
         /// How.
-        source: PlatformError,
+        source: StoreError,
     },
     /// Somebody else was first.
     #[display(
@@ -44,8 +44,8 @@
 /// Result of this module.
 pub type Result<T> = std::result::Result<T, ApplyError>;
 
-impl From<PlatformError> for ApplyError {
-    fn from(source: PlatformError) -> ApplyError {
+impl From<StoreError> for ApplyError {
+    fn from(source: StoreError) -> ApplyError {
         ApplyError::Platform { source }
     }
 }
@@ -87,7 +87,7 @@
 /// # Errors
 ///
 /// Returns an error when the platform does not answer or an object is missing.
-pub async fn read(platform: &PlatformClient) -> Result<InForce> {
+pub async fn read(platform: &StoreClient) -> Result<InForce> {
     let row: Option<Row<Head>> = platform.read(keys::CONFIG_HEAD).await?;
     let Some(row) = row else {
         return Ok(InForce {
@@ -109,7 +109,7 @@
 /// # Errors
 ///
 /// Returns an error when the platform does not answer or an object is missing.
-pub async fn read_site(platform: &PlatformClient, head: &Head) -> Result<SiteSettings> {
+pub async fn read_site(platform: &StoreClient, head: &Head) -> Result<SiteSettings> {
     let broken = || ApplyError::Broken {
         version: head.version,
     };
@@ -135,7 +135,7 @@
 /// Returns a conflict when somebody else was first, and an unknown outcome
 /// only when the change id can't be found in the row either.
 pub async fn apply(
-    platform: &PlatformClient,
+    platform: &StoreClient,
     in_force: &InForce,
     site: &SiteSettings,
     by: &str,
@@ -175,7 +175,7 @@
     }
 }
 
-async fn write_object(platform: &PlatformClient, object: &impl serde::Serialize) -> Result<Name> {
+async fn write_object(platform: &StoreClient, object: &impl serde::Serialize) -> Result<Name> {
     let body = serde_json::to_vec(object).unwrap_or_default();
     let digest = ids::digest(&body);
     platform.write_object(&digest, body).await?;
@@ -193,9 +193,9 @@
 
 /// The answer was lost: later heads still name the change if it was made.
 async fn find_out(
-    platform: &PlatformClient,
+    platform: &StoreClient,
     accepted: Accepted,
-    error: PlatformError,
+    error: StoreError,
 ) -> Result<Accepted> {
     let row: Option<Row<Head>> = match platform.read(keys::CONFIG_HEAD).await {
         Ok(row) => row,
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -15,7 +15,6 @@
 use crate::{
     clock,
     metrics::Metrics,
-    platform::PlatformClient,
     prelude::*,
     proxy::{
         caller::Entry,
@@ -26,6 +25,7 @@
         trunk::TrunkHandle,
     },
     settings::VmSettings,
+    store::StoreClient,
 };
 
 /// Interval of looks at whether all callers have left.
@@ -100,7 +100,7 @@
         part: "metrics",
         text: error.to_string(),
     })?;
-    let platform = PlatformClient::new(settings.platform).map_err(|error| DaemonError::Setup {
+    let platform = StoreClient::new(settings.platform).map_err(|error| DaemonError::Setup {
         part: "platform",
         text: error.to_string(),
     })?;
--- a/src/control/node/config.rs
+++ b/src/control/node/config.rs
@@ -10,9 +10,9 @@
         peer::{News, WholeSite},
     },
     decide::rollout::{Head, Plan, SiteChange},
-    platform::{PlatformClient, Row},
     prelude::*,
     settings::SiteSettings,
+    store::{Row, StoreClient},
 };
 
 /// Mean interval between two reads of the head row, in milliseconds.
@@ -47,7 +47,7 @@
         self.head.as_ref().map(|head| head.version)
     }
 
-    pub(super) fn head_read(&mut self, result: crate::platform::Result<Option<Row<Head>>>) {
+    pub(super) fn head_read(&mut self, result: crate::store::Result<Option<Row<Head>>>) {
         match result {
             Ok(Some(row)) => self.hear_head(row.value, None),
             Ok(None) => self.release_waiting(),
@@ -261,7 +261,7 @@
 }
 
 async fn fetch_objects(
-    platform: &PlatformClient,
+    platform: &StoreClient,
     snapshot: Option<Name>,
     digests: &[Name],
 ) -> Option<Fetched> {
--- a/src/control/node/members.rs
+++ b/src/control/node/members.rs
@@ -8,9 +8,9 @@
     clock,
     control::peer::{Ping, Pong},
     decide::membership::{Change, Place},
-    platform::ListedVm,
+    decision_log::decision,
     prelude::*,
-    proxy::decision_log::decision,
+    store::ListedVm,
 };
 
 /// Interval of probes, in milliseconds.
@@ -54,7 +54,7 @@
         self.note_working();
     }
 
-    pub(super) fn vms_listed(&mut self, result: crate::platform::Result<Vec<ListedVm>>) {
+    pub(super) fn vms_listed(&mut self, result: crate::store::Result<Vec<ListedVm>>) {
         let vms = match result {
             Ok(vms) => vms,
             Err(error) => {
--- a/src/control/node/message.rs
+++ b/src/control/node/message.rs
@@ -12,10 +12,10 @@
         membership::Change,
         rollout::{Head, SiteChange},
     },
-    platform::{ListedVm, Result, Row, Written},
     prelude::*,
     proxy::context::Locate,
     settings::SiteSettings,
+    store::{ListedVm, Result, Row, Written},
 };
 
 /// What was fetched of a configuration.
--- a/src/control/node/mod.rs
+++ b/src/control/node/mod.rs
@@ -31,10 +31,10 @@
         rollout::{Head, SiteChange},
     },
     metrics::Metrics,
-    platform::{PlatformClient, Row},
     prelude::*,
     proxy::{context::Locate, route_table::RouteTable, slot::SlotHandle},
     settings::{ServiceSettings, SiteSettings, VmSettings},
+    store::{Row, StoreClient},
 };
 
 /// Interval of ticks, in milliseconds.
@@ -77,7 +77,7 @@
     /// Metrics.
     pub metrics: Metrics,
     /// Client of the platform.
-    pub platform: PlatformClient,
+    pub platform: StoreClient,
     /// Where the routes are published.
     pub routes: watch::Sender<Rc<RouteTable>>,
     /// Set once a configuration is in force.
--- a/src/control/node/rows.rs
+++ b/src/control/node/rows.rs
@@ -11,9 +11,9 @@
         failover::Event,
         placement::{Candidate, place},
     },
-    platform::{Result, Row, Written},
+    decision_log::decision,
     prelude::*,
-    proxy::decision_log::decision,
+    store::{Result, Row, Written},
 };
 
 /// Interval between two looks at the rows that this VM answers for.
--- a/src/control/node/services.rs
+++ b/src/control/node/services.rs
@@ -6,10 +6,10 @@
 use crate::{
     control::delegate::{DelegateContext, DelegateHandle},
     decide::failover::Event,
+    decision_log::decision,
     prelude::*,
     proxy::{
         context::Locate,
-        decision_log::decision,
         route_table::{Holder, Route, RouteTable},
         slot::{self, SlotContext, SlotHandle, SlotMessage},
     },
--- a/src/control/peer.rs
+++ b/src/control/peer.rs
@@ -8,9 +8,9 @@
         membership::Change,
         rollout::{Head, SiteChange},
     },
-    platform::Row,
     prelude::*,
     settings::SiteSettings,
+    store::Row,
 };
 
 /// A probe: it shows that the sender lives and carries what changed.
--- a/src/control/peer_server.rs
+++ b/src/control/peer_server.rs
@@ -19,8 +19,8 @@
         membership::Change,
         rollout::{Head, SiteChange},
     },
-    platform::Row,
     prelude::*,
+    store::Row,
 };
 
 /// Pause after a connection could not be accepted.
--- a/src/decide/acknowledge.rs
+++ b/src/decide/acknowledge.rs
@@ -103,7 +103,7 @@
         .filter_map(|(_, m)| m.observation);
     let confirms = |o: &super::member::Observation| match mode {
         Acknowledge::Term => {
-            o.status.term == commit.position.term && o.asked_ms >= commit.answered_ms
+            o.status.term == commit.position.term && o.is_after(commit.answered_ms)
         }
         _ => o.status.confirms(commit.position),
     };
--- a/src/decide/age.rs
+++ b/src/decide/age.rs
@@ -42,6 +42,18 @@
         covered.map(|(asked_ms, _)| now_ms.saturating_sub(*asked_ms))
     }
 
+    /// Position that includes all that was done before `since_ms`: the first
+    /// one seen after it. `None` when nothing was seen since.
+    pub fn floor(&self, since_ms: u64) -> Option<Position> {
+        let seen = self.seen.iter().find(|(asked_ms, _)| *asked_ms >= since_ms);
+        seen.map(|(_, position)| *position)
+    }
+
+    /// Time of the last observation, in milliseconds.
+    pub fn newest_ms(&self) -> Option<u64> {
+        self.seen.back().map(|(asked_ms, _)| *asked_ms)
+    }
+
     /// Time until data at `replayed` is expected to include `wanted`, in
     /// milliseconds, if the replica stays as far behind as it is.
     pub fn expected_ms(&self, replayed: Position, wanted: Position, now_ms: u64) -> Option<u64> {
--- a/src/decide/barrier.rs
+++ b/src/decide/barrier.rs
@@ -12,6 +12,9 @@
 /// Finds the barrier for a question that came at `arrived_ms`; `None` until
 /// the reports are in.
 ///
+/// A report counts only if it was asked for in a later millisecond: within the
+/// same one the order of the two is not known.
+///
 /// Where commits are acknowledged by a majority, any majority of the members
 /// that are in step with the term holds every acknowledged commit, so the
 /// least advanced majority will do: the session need not wait for commits that
@@ -37,7 +40,7 @@
 /// Least position that a majority in step with the highest term covers.
 fn quorum_barrier(members: &[MemberView], arrived_ms: u64) -> Option<Position> {
     let is_awaited = |m: &MemberView| {
-        let is_fresh = m.observation.is_some_and(|o| o.asked_ms >= arrived_ms);
+        let is_fresh = m.observation.is_some_and(|o| o.is_after(arrived_ms));
         m.failures == 0 && !is_fresh
     };
     if members.iter().any(is_awaited) {
@@ -57,6 +60,6 @@
 
 fn fresh(members: &[MemberView], arrived_ms: u64) -> Vec<MemberStatus> {
     let observed = members.iter().filter_map(|m| m.observation);
-    let fresh = observed.filter(|o| o.asked_ms >= arrived_ms);
+    let fresh = observed.filter(|o| o.is_after(arrived_ms));
     fresh.map(|o| o.status).collect()
 }
--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -65,6 +65,19 @@
     pub answered_ms: u64,
 }
 
+impl Observation {
+    /// Whether the report was asked for after an event at `event_ms`.
+    pub fn is_after(&self, event_ms: u64) -> bool {
+        asked_after(self.asked_ms, event_ms)
+    }
+}
+
+/// Whether a question at `asked_ms` was sent after an event at `event_ms`.
+/// Within one millisecond the order is not known, so it does not count.
+pub fn asked_after(asked_ms: u64, event_ms: u64) -> bool {
+    asked_ms > event_ms
+}
+
 /// What a slot knows of one member.
 #[derive(Clone, Debug, Default)]
 pub struct MemberView {
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -121,7 +121,7 @@
     }
     let asked_since = replicas.iter().all(|i| {
         let observed = members[*i].observation;
-        observed.is_some_and(|o| o.asked_ms >= request.arrived_ms)
+        observed.is_some_and(|o| o.is_after(request.arrived_ms))
     });
     if !asked_since {
         return Decision::Refresh {
--- a/src/proxy/decision_log.rs
+++ b/src/decision_log.rs
@@ -40,7 +40,7 @@
 /// Writes a line for a decision unless too many of its kind were written.
 macro_rules! decision {
     ($kind:literal, $($field:tt)*) => {
-        if let Some(left_out) = $crate::proxy::decision_log::permit($kind) {
+        if let Some(left_out) = $crate::decision_log::permit($kind) {
             log::info!(target: $kind, left_out = left_out, $($field)*);
         }
     };
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -7,7 +7,7 @@
 
 use crate::prelude::*;
 
-/// Starts logging to standard error.
+/// Starts logging to standard output.
 ///
 /// # Errors
 ///
@@ -29,7 +29,7 @@
         .format(move |out, message, record| {
             out.finish(format_args!("{}", line(&vm, &message.to_string(), record)));
         })
-        .chain(std::io::stderr())
+        .chain(std::io::stdout())
         .apply()
 }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -5,7 +5,7 @@
 pub mod class_cache;
 pub mod connect;
 pub mod context;
-pub mod decision_log;
+
 pub mod error;
 pub mod exchange;
 pub mod frame;
--- a/src/proxy/slot/task/reports.rs
+++ b/src/proxy/slot/task/reports.rs
@@ -57,8 +57,10 @@
         let Some(asked_ms) = self.members[primary].asked_ms() else {
             return;
         };
-        if let Some(position) = primary_barrier(&self.views(), asked_ms) {
-            self.ages.observe(asked_ms, position);
+        // Reports of the same millisecond count from the one before.
+        let since_ms = asked_ms.saturating_sub(1);
+        if let Some(position) = primary_barrier(&self.views(), since_ms) {
+            self.ages.observe(since_ms, position);
         }
     }
 
@@ -97,7 +99,7 @@
             let is_replaced = term > 0 && highest > term;
             let answered = members[member].view.observation.map(|o| o.answered_ms);
             let is_recent = answered.is_some_and(|at| now_ms < at + ALIVE_MS);
-            let is_asked = member == index && asked_ms >= since_ms;
+            let is_asked = member == index && asked_after(asked_ms, since_ms);
             let is_failed = members[member].view.failures > 0;
             let fails_again = members[member].view.failures >= FAILURES_GONE;
             if is_replaced || fails_again || (is_failed && !is_recent) {
--- /dev/null
+++ b/src/relay/exchange.rs
@@ -0,0 +1,108 @@
+//! Requests and answers on a connection.
+
+use bytes::BytesMut;
+
+use super::{
+    Answer, MemberCodec, MemberRequest, RelayError, Result, StatusReport,
+    link::{Link, Values},
+    prepared::Shape,
+};
+
+/// Writes what gives a connection the session values of a caller and the
+/// prepared statement it is about to run. Returns how many answers that adds.
+pub fn put_session(
+    output: &mut BytesMut,
+    codec: &MemberCodec,
+    link: &mut Link,
+    values: &Values,
+    shape: Option<&Shape>,
+) -> usize {
+    let mut answers = 0;
+    let mut put = |request: &MemberRequest<'_>| {
+        (codec.encode)(output, request);
+        answers += 1;
+    };
+    if link.needs_reset(values) {
+        put(&MemberRequest::Reset);
+        link.values.clear();
+        link.prepared.clear();
+    }
+    for (name, value) in values {
+        if link.values.get(name) != Some(value) {
+            put(&MemberRequest::Set { name, value });
+            link.values.insert(name.clone(), value.clone());
+        }
+    }
+    if let Some(shape) = shape
+        && link.prepared.insert(shape.name.clone())
+    {
+        put(&MemberRequest::Prepare {
+            name: &shape.name,
+            shape,
+        });
+    }
+    answers
+}
+
+/// Reads answers that must not be errors.
+///
+/// # Errors
+///
+/// Returns an error when the connection breaks or one of them is an error: the
+/// connection's session is then not known.
+pub async fn skip_answers(link: &mut Link, codec: &MemberCodec, count: usize) -> Result<()> {
+    for _ in 0..count {
+        let answer = read_answer(link, codec).await?;
+        if let Some(class) = answer.error {
+            return Err(RelayError::Refused { class });
+        }
+    }
+    Ok(())
+}
+
+/// Reads one answer.
+///
+/// # Errors
+///
+/// Returns an error when the connection breaks.
+pub async fn read_answer(link: &mut Link, codec: &MemberCodec) -> Result<Answer> {
+    loop {
+        if let Some(answer) = (codec.decode)(&mut link.socket.input)? {
+            return Ok(answer);
+        }
+        link.socket.fill().await?;
+    }
+}
+
+/// Sends one request and reads its answer.
+///
+/// # Errors
+///
+/// Returns an error when the connection breaks.
+pub async fn request(
+    link: &mut Link,
+    codec: &MemberCodec,
+    request: &MemberRequest<'_>,
+) -> Result<Answer> {
+    let mut output = BytesMut::new();
+    (codec.encode)(&mut output, request);
+    link.socket.write(output).await?;
+    read_answer(link, codec).await
+}
+
+/// Sends a request that is answered by a report.
+///
+/// # Errors
+///
+/// Returns an error when the connection breaks or the member refuses.
+pub async fn report(
+    link: &mut Link,
+    codec: &MemberCodec,
+    order: &MemberRequest<'_>,
+) -> Result<StatusReport> {
+    let answer = request(link, codec, order).await?;
+    if let Some(class) = answer.error {
+        return Err(RelayError::Refused { class });
+    }
+    (codec.report)(&answer.body)
+}
--- /dev/null
+++ b/src/relay/link.rs
@@ -0,0 +1,35 @@
+//! Connections to members.
+
+use bytes::Bytes;
+
+use super::socket::Socket;
+use crate::{prelude::*, proxy::link::Permit};
+
+/// Values of a session, by name.
+pub type Values = BTreeMap<Bytes, Bytes>;
+
+/// Prepared statements after which a connection is reset before it is reused.
+const PREPARED_MAX: usize = 500;
+
+/// A connection to a member.
+pub struct Link {
+    /// The socket.
+    pub socket: Socket,
+    /// Id of the member.
+    pub member: Name,
+    /// Values that are set on it.
+    pub values: Values,
+    /// Names of the statements that are prepared on it.
+    pub prepared: BTreeSet<Name>,
+    /// Gives its place back when it is dropped.
+    pub _permit: Permit,
+}
+
+impl Link {
+    /// Whether it must be reset before a session with these values uses it: a
+    /// value can be set over but not removed.
+    pub fn needs_reset(&self, values: &Values) -> bool {
+        let has_more = self.values.keys().any(|name| !values.contains_key(name));
+        has_more || self.prepared.len() >= PREPARED_MAX
+    }
+}
--- /dev/null
+++ b/src/relay/member.rs
@@ -0,0 +1,129 @@
+//! What a service's task knows of one member.
+
+use super::{
+    MemberEntry, StatusReport,
+    link::{Link, Values},
+    message::Acquire,
+};
+use crate::decide::{admission::AdmissionQueue, dispatch::connection_limit, member::Role};
+
+/// Requests that may wait for one member.
+const QUEUE_MAX: usize = 256;
+/// Weight of the newest sample in a mean.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// First guess of the time of a read, in milliseconds, by distance: the zone,
+/// the region, beyond. The last is a trip between regions and back.
+const FIRST_MEAN_MS: [f64; 3] = [20.0, 25.0, 65.0];
+/// Age after which a member's count of connections is not trusted, in microseconds.
+const COUNT_AGE_US: u64 = 3_000_000;
+
+/// Time for which a member may be missing from the list, in milliseconds: after
+/// an outage of the platform's store entries are back within two seconds.
+const UNLISTED_MS: u64 = 2_500;
+
+/// A member.
+pub struct Member {
+    /// Last entry in the platform's list.
+    pub entry: MemberEntry,
+    /// Time since which it is missing from the list, in milliseconds.
+    pub unlisted_since_ms: Option<u64>,
+    /// Distance from this VM: 0 to 2.
+    pub distance: u32,
+    /// Connections that nobody uses.
+    pub idle: Vec<Link>,
+    /// Connections that are open, or being opened.
+    pub open: usize,
+    /// Of these, those that are being opened.
+    pub opening: usize,
+    /// Requests that wait for a connection.
+    pub queue: AdmissionQueue<Acquire>,
+    /// Time of the last report's question, in microseconds, and the report.
+    pub report: Option<(u64, StatusReport)>,
+    /// Time of the question that is on its way, in microseconds.
+    pub probing_us: Option<u64>,
+    /// A report must be asked for after this time, in microseconds.
+    pub probe_after_us: Option<u64>,
+    /// Questions in a row that were not answered.
+    pub failures: u32,
+    /// Time of the first of them, in microseconds.
+    pub silent_since_us: Option<u64>,
+    /// Time before which it is not asked again, in milliseconds.
+    pub next_probe_ms: u64,
+    /// Time before which no connection is opened, in milliseconds.
+    pub open_after_ms: u64,
+    /// Mean time of a read, in milliseconds.
+    pub mean_ms: f64,
+    /// Time until which it counts as behind, in milliseconds.
+    pub behind_until_ms: u64,
+    /// Time since which it was told not to receive, in microseconds.
+    pub held_since_us: Option<u64>,
+}
+
+impl Member {
+    /// Creates a member that nothing is known of but its entry.
+    pub fn new(entry: MemberEntry, distance: u32) -> Member {
+        Member {
+            entry,
+            unlisted_since_ms: None,
+            distance,
+            idle: Vec::new(),
+            open: 0,
+            opening: 0,
+            queue: AdmissionQueue::new(QUEUE_MAX),
+            report: None,
+            probing_us: None,
+            probe_after_us: None,
+            failures: 0,
+            silent_since_us: None,
+            next_probe_ms: 0,
+            open_after_ms: 0,
+            mean_ms: FIRST_MEAN_MS[distance.min(2) as usize],
+            behind_until_ms: 0,
+            held_since_us: None,
+        }
+    }
+
+    /// Whether it may get new work.
+    pub fn is_usable(&self, now_ms: u64) -> bool {
+        self.failures == 0 && !self.is_going(now_ms)
+    }
+
+    /// Whether it is leaving, or gone from the list.
+    pub fn is_going(&self, now_ms: u64) -> bool {
+        let since_ms = self.unlisted_since_ms;
+        self.entry.is_leaving || since_ms.is_some_and(|at| now_ms >= at + UNLISTED_MS)
+    }
+
+    /// Term that it leads, by its last report.
+    pub fn led_term(&self) -> Option<u64> {
+        let (_, report) = self.report?;
+        (report.role == Role::Primary).then_some(report.term)
+    }
+
+    /// Connections that this VM may hold to it.
+    pub fn limit(&self, connections_max: usize, vms: usize, now_us: u64) -> usize {
+        let recent = self.report.filter(|(at, _)| now_us < at + COUNT_AGE_US);
+        let reported = recent.map(|(_, report)| report.connections);
+        connection_limit(connections_max, vms, reported, self.open)
+    }
+
+    /// Takes an idle connection, preferably one that needs no reset.
+    pub fn take_idle(&mut self, values: &Values) -> Option<Link> {
+        while !self.idle.is_empty() {
+            let fitting = self.idle.iter().rposition(|l| !l.needs_reset(values));
+            let link = self
+                .idle
+                .swap_remove(fitting.unwrap_or(self.idle.len() - 1));
+            if !link.socket.is_stale() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// Takes the time of a read into the mean.
+    pub fn record_read(&mut self, read_us: u64) {
+        let sample_ms = read_us as f64 / 1_000.0;
+        self.mean_ms += (sample_ms - self.mean_ms) * SAMPLE_WEIGHT;
+    }
+}
--- /dev/null
+++ b/src/relay/message.rs
@@ -0,0 +1,151 @@
+//! Messages to a service's task.
+
+use std::rc::Rc;
+
+use futures::channel::oneshot;
+
+use super::{
+    ErrorClass, MemberEntry, Result, ServiceEntry, StatusReport,
+    link::{Link, Values},
+};
+use crate::prelude::*;
+
+/// What a connection is needed for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Want {
+    /// For what only the primary can do.
+    Primary,
+    /// To read.
+    Read {
+        /// The log must hold what was acknowledged before this time, in milliseconds.
+        since_ms: u64,
+        /// Position that the session has reached.
+        floor: Option<Position>,
+        /// Oldest data allowed, in milliseconds.
+        max_staleness_ms: u64,
+    },
+}
+
+/// A request for a connection.
+pub struct Acquire {
+    /// Id of the statement, for logs.
+    pub id: bytes::Bytes,
+    /// What for.
+    pub want: Want,
+    /// Latest time to grant it, in milliseconds.
+    pub deadline_ms: u64,
+    /// Priority; zero goes first.
+    pub priority: u32,
+    /// Members that have failed this request.
+    pub avoid: BTreeSet<Name>,
+    /// Values of the session.
+    pub values: Rc<Values>,
+    /// Answer.
+    pub reply: oneshot::Sender<std::result::Result<Granted, Refused>>,
+}
+
+/// A connection that was granted.
+pub struct Granted {
+    /// The connection.
+    pub link: Link,
+    /// Position that the member's log must hold.
+    pub after: Option<Position>,
+    /// Term that the member led when it last reported; `None` for a replica.
+    pub led_term: Option<u64>,
+}
+
+/// A request that was refused. It was not run.
+#[derive(Clone, Debug)]
+pub struct Refused {
+    /// Class of the error.
+    pub class: ErrorClass,
+    /// Why.
+    pub text: &'static str,
+    /// Time after which to come back, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// A message to a service's task.
+pub enum ServiceMessage {
+    /// Grant a connection.
+    Acquire(Acquire),
+    /// Take a connection back.
+    Release {
+        /// The connection.
+        link: Link,
+        /// Whether a transaction may be open on it.
+        needs_rollback: bool,
+        /// Time of the read that it served, in microseconds.
+        read_us: Option<u64>,
+    },
+    /// A connection is gone.
+    Dropped {
+        /// Id of the member.
+        member: Name,
+    },
+    /// A connection was opened, or not.
+    Opened {
+        /// Id of the member.
+        member: Name,
+        /// The connection.
+        result: Result<Link>,
+    },
+    /// A member reported, or did not.
+    Probed {
+        /// Id of the member.
+        member: Name,
+        /// Time it was asked, in microseconds.
+        asked_us: u64,
+        /// The report, and the connection that it came on.
+        result: Result<(Link, StatusReport)>,
+    },
+    /// Prove that nobody else leads.
+    Prove {
+        /// Member that is believed to lead.
+        primary: Name,
+        /// Time after which the others must be asked, in microseconds.
+        since_us: u64,
+        /// Answer: the highest term of the others, or `None` when they do not answer.
+        reply: oneshot::Sender<Option<u64>>,
+    },
+    /// All that was acknowledged before a time lies at or before a position.
+    Observed {
+        /// The time, in milliseconds.
+        since_ms: u64,
+        /// The position.
+        position: Position,
+    },
+    /// A statement on a member broke off or is late.
+    Suspect {
+        /// Id of the member.
+        member: Name,
+        /// Whether a commit waits there.
+        is_commit: bool,
+    },
+    /// A commit was acknowledged: the primary is not stuck.
+    Committed,
+    /// The member does not lead.
+    NotPrimary {
+        /// Id of the member.
+        member: Name,
+    },
+    /// The member lacks a position.
+    Behind {
+        /// Id of the member.
+        member: Name,
+    },
+    /// The members as the platform lists them now.
+    Members {
+        /// Members by id.
+        members: BTreeMap<Name, MemberEntry>,
+        /// VMs that share the members.
+        vms: usize,
+    },
+    /// The configuration of the service.
+    Entry(ServiceEntry),
+    /// An attempt to replace the primary has ended.
+    TakeoverEnded {
+        /// Member that leads now, if any was promoted.
+        promoted: Option<Name>,
+    },
+}
--- /dev/null
+++ b/src/relay/open.rs
@@ -0,0 +1,66 @@
+//! Opening connections to members.
+
+use std::net::SocketAddr;
+
+use bytes::BytesMut;
+use compio::net::TcpStream;
+
+use super::{
+    MemberCodec, MemberRequest, RelayError, Result, exchange::read_answer, link::Link,
+    socket::Socket,
+};
+use crate::{prelude::*, proxy::link::Permit};
+
+/// Longest time to open a connection: three trips to another region and back,
+/// the member's work and a full queue there.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A member to connect to.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Name of the service.
+    pub service: Name,
+    /// Id of the member.
+    pub member: Name,
+    /// Address.
+    pub address: SocketAddr,
+}
+
+/// Opens a connection. The member's id goes with it, since addresses are used
+/// again.
+///
+/// # Errors
+///
+/// Returns an error when nobody answers in time or the member refuses.
+pub async fn open(target: Target, codec: MemberCodec, permit: Permit) -> Result<Link> {
+    let opened = compio::time::timeout(OPEN_TIMEOUT, connect(target, codec, permit)).await;
+    opened.map_err(|_| RelayError::Timeout)?
+}
+
+async fn connect(target: Target, codec: MemberCodec, permit: Permit) -> Result<Link> {
+    let stream = TcpStream::connect(target.address).await?;
+    let mut link = Link {
+        socket: Socket::new(stream)?,
+        member: target.member.clone(),
+        values: BTreeMap::new(),
+        prepared: BTreeSet::new(),
+        _permit: permit,
+    };
+    let mut output = BytesMut::new();
+    let request = MemberRequest::Open {
+        service: &target.service,
+        member: &target.member,
+    };
+    (codec.encode)(&mut output, &request);
+    link.socket.write(output).await?;
+    match read_answer(&mut link, &codec).await {
+        Ok(answer) => match answer.error {
+            None => Ok(link),
+            Some(class) => Err(RelayError::Refused { class }),
+        },
+        Err(error) => match (codec.opening_error)(&link.socket.input) {
+            Some(class) => Err(RelayError::Refused { class }),
+            None => Err(error),
+        },
+    }
+}
--- /dev/null
+++ b/src/relay/service.rs
@@ -0,0 +1,326 @@
+//! The task of a service: it owns the connections to its members, grants them,
+//! and knows which member leads.
+
+mod grant;
+mod probe;
+mod watch;
+
+use std::rc::Rc;
+
+use futures::channel::oneshot;
+
+use super::{
+    ErrorClass, MemberEntry, RelayOptions, ServiceEntry,
+    link::Values,
+    member::Member,
+    message::{Acquire, Granted, Refused, ServiceMessage, Want},
+    open::{Target, open},
+};
+use crate::{
+    clock,
+    decide::{age::AgeTracker, member::Role, takeover::Reason},
+    decision_log::decision,
+    prelude::*,
+    proxy::link::Permit,
+};
+
+/// Longest time between two looks at the timers while nothing waits.
+const IDLE_TICK_MS: u64 = 250;
+/// The same while requests wait.
+const BUSY_TICK_MS: u64 = 10;
+/// The same while a member does not answer.
+const FAILING_TICK_MS: u64 = 50;
+
+/// What tasks of a service share.
+#[derive(Clone)]
+pub struct ServiceContext {
+    /// Name of the service.
+    pub service: Name,
+    /// Surroundings.
+    pub options: Rc<RelayOptions>,
+    /// The service's own mailbox.
+    pub mailbox: flume::Sender<ServiceMessage>,
+}
+
+impl ServiceContext {
+    /// Sends a message to the service's task.
+    pub fn send(&self, message: ServiceMessage) {
+        // The task ends only with the process.
+        let _ = self.mailbox.send(message);
+    }
+}
+
+/// A proof that somebody waits for.
+struct PendingProof {
+    primary: Name,
+    since_us: u64,
+    reply: oneshot::Sender<Option<u64>>,
+}
+
+struct Service {
+    context: ServiceContext,
+    entry: ServiceEntry,
+    vms: usize,
+    members: BTreeMap<Name, Member>,
+    primary: Option<Name>,
+    missing_since_ms: u64,
+    waiting_primary: Vec<Acquire>,
+    waiting_floor: Vec<Acquire>,
+    proofs: Vec<PendingProof>,
+    refresh_since_us: Option<u64>,
+    ages: AgeTracker,
+    stuck_since_ms: Option<u64>,
+    takeover: Takeover,
+}
+
+/// State of the replacement of the primary, as this VM sees it.
+#[derive(Clone, Copy, Debug)]
+enum Takeover {
+    /// Nothing is wrong.
+    Calm,
+    /// The primary is to be replaced; another VM may be faster.
+    Due { reason: Reason, start_ms: u64 },
+    /// This VM tries to.
+    Running,
+    /// An attempt has ended a moment ago.
+    Pausing { until_ms: u64 },
+}
+
+/// Starts the task of a service.
+pub fn start(
+    service: Name,
+    entry: ServiceEntry,
+    options: Rc<RelayOptions>,
+) -> flume::Sender<ServiceMessage> {
+    let (mailbox, messages) = flume::unbounded();
+    let context = ServiceContext {
+        service,
+        options,
+        mailbox: mailbox.clone(),
+    };
+    compio::runtime::spawn(run(context, entry, messages)).detach();
+    mailbox
+}
+
+async fn run(
+    context: ServiceContext,
+    entry: ServiceEntry,
+    messages: flume::Receiver<ServiceMessage>,
+) {
+    let mut service = Service {
+        context,
+        entry,
+        vms: 1,
+        members: BTreeMap::new(),
+        primary: None,
+        missing_since_ms: clock::boot_ms(),
+        waiting_primary: Vec::new(),
+        waiting_floor: Vec::new(),
+        proofs: Vec::new(),
+        refresh_since_us: None,
+        ages: AgeTracker::default(),
+        stuck_since_ms: None,
+        takeover: Takeover::Calm,
+    };
+    loop {
+        let wait = service.next_timer();
+        match compio::time::timeout(wait, messages.recv_async()).await {
+            Ok(Ok(message)) => service.take(message),
+            Ok(Err(_)) => return,
+            Err(_) => {}
+        }
+        // A batch of messages needs only one look at what waits.
+        for message in messages.drain() {
+            service.take(message);
+        }
+        service.pump();
+    }
+}
+
+impl Service {
+    fn take(&mut self, message: ServiceMessage) {
+        match message {
+            ServiceMessage::Acquire(acquire) => self.acquire(acquire),
+            ServiceMessage::Release {
+                link,
+                needs_rollback,
+                read_us,
+            } => self.release(link, needs_rollback, read_us),
+            ServiceMessage::Dropped { member } => {
+                if let Some(member) = self.members.get_mut(&member) {
+                    member.open = member.open.saturating_sub(1);
+                }
+            }
+            ServiceMessage::Opened { member, result } => self.opened(&member, result),
+            ServiceMessage::Probed {
+                member,
+                asked_us,
+                result,
+            } => self.probed(&member, asked_us, result),
+            ServiceMessage::Prove {
+                primary,
+                since_us,
+                reply,
+            } => self.proofs.push(PendingProof {
+                primary,
+                since_us,
+                reply,
+            }),
+            ServiceMessage::Observed { since_ms, position } => {
+                self.ages.observe(since_ms, position);
+            }
+            ServiceMessage::Suspect { member, is_commit } => self.suspect(&member, is_commit),
+            ServiceMessage::Committed => self.stuck_since_ms = None,
+            ServiceMessage::NotPrimary { member } => self.not_primary(&member),
+            ServiceMessage::Behind { member } => self.behind(&member),
+            ServiceMessage::Members { members, vms } => self.change_members(members, vms),
+            ServiceMessage::Entry(entry) => self.entry = entry,
+            ServiceMessage::TakeoverEnded { promoted } => self.takeover_ended(promoted),
+        }
+    }
+
+    /// Serves what can be served, asks what must be known, opens what lacks.
+    fn pump(&mut self) {
+        let now_ms = clock::boot_ms();
+        self.note_primary();
+        self.settle_proofs();
+        self.settle_floor();
+        self.route_waiting();
+        let members: Vec<Name> = self.members.keys().cloned().collect();
+        for member in &members {
+            self.serve_queue(member);
+        }
+        self.expire(now_ms);
+        self.start_probes(now_ms);
+        self.watch_primary(now_ms);
+    }
+
+    fn next_timer(&self) -> Duration {
+        let is_waiting = !self.waiting_floor.is_empty()
+            || !self.proofs.is_empty()
+            || !self.waiting_primary.is_empty()
+            || self.members.values().any(|m| !m.queue.is_empty());
+        let is_failing = self.members.values().any(|m| m.failures > 0);
+        let is_calm = matches!(self.takeover, Takeover::Calm);
+        let wait_ms = match (is_waiting, is_failing || !is_calm) {
+            (true, _) => BUSY_TICK_MS,
+            (false, true) => FAILING_TICK_MS,
+            (false, false) => IDLE_TICK_MS,
+        };
+        Duration::from_millis(wait_ms)
+    }
+
+    fn change_members(&mut self, members: BTreeMap<Name, MemberEntry>, vms: usize) {
+        let now_ms = clock::boot_ms();
+        self.vms = vms.max(1);
+        for (id, member) in &mut self.members {
+            if !members.contains_key(id) {
+                member.unlisted_since_ms.get_or_insert(now_ms);
+            }
+        }
+        for (id, entry) in members {
+            self.change_member(&id, entry);
+        }
+        let forget = |m: &Member| {
+            let since = m.unlisted_since_ms;
+            since.is_some_and(|at| now_ms >= at + watch::FORGET_MS) && m.open == 0
+        };
+        self.members.retain(|_, member| !forget(member));
+    }
+
+    fn change_member(&mut self, id: &Name, entry: MemberEntry) {
+        let distance = self.context.options.distance(&entry.zone);
+        let Some(member) = self.members.get_mut(id) else {
+            decision!(
+                "member", service = &*self.context.service, member = &**id,
+                address = entry.address.to_string(), zone = &*entry.zone,
+                role = entry.role.map(|r| r.to_string()).unwrap_or_default();
+                "member listed"
+            );
+            self.members
+                .insert(id.clone(), Member::new(entry, distance));
+            self.want_probe(id, clock::boot_us());
+            return;
+        };
+        let is_reborn =
+            member.entry.born_ms != entry.born_ms || member.entry.address != entry.address;
+        let has_new_role = member.entry.role != entry.role;
+        if member.entry.is_leaving != entry.is_leaving || is_reborn {
+            decision!(
+                "member", service = &*self.context.service, member = &**id,
+                is_leaving = entry.is_leaving, is_reborn = is_reborn; "member changed"
+            );
+        }
+        if is_reborn {
+            // It holds and knows nothing of what its connections led to.
+            member.idle.clear();
+            member.report = None;
+        }
+        member.unlisted_since_ms = None;
+        member.entry = entry;
+        if is_reborn || has_new_role {
+            self.want_probe(id, clock::boot_us());
+        }
+    }
+
+    /// Member that leads in the highest term, by reports; before the first
+    /// report of a leader, by the platform's list.
+    fn find_primary(&self) -> Option<Name> {
+        let led = self.members.iter();
+        let leader = led
+            .filter_map(|(id, m)| m.led_term().map(|term| (term, id)))
+            .max();
+        let highest = self.highest_term();
+        match leader {
+            Some((term, id)) if term >= highest => Some(id.clone()),
+            _ => None,
+        }
+    }
+
+    fn highest_term(&self) -> u64 {
+        let reports = self.members.values().filter_map(|m| m.report);
+        reports.map(|(_, report)| report.term).max().unwrap_or(0)
+    }
+
+    fn note_primary(&mut self) {
+        let found = self.find_primary();
+        if found == self.primary {
+            return;
+        }
+        decision!(
+            "primary", service = &*self.context.service,
+            primary = found.as_deref().unwrap_or("none"),
+            before = self.primary.as_deref().unwrap_or("none"),
+            term = self.highest_term(); "primary seen"
+        );
+        if found.is_none() {
+            self.missing_since_ms = clock::boot_ms();
+        }
+        self.stuck_since_ms = None;
+        self.primary = found;
+    }
+
+    fn target(&self, member: &Name) -> Option<Target> {
+        let entry = &self.members.get(member)?.entry;
+        Some(Target {
+            service: self.context.service.clone(),
+            member: member.clone(),
+            address: entry.address,
+        })
+    }
+
+    fn permit(&self, member: &Name) -> Permit {
+        let context = self.context.clone();
+        let member = member.clone();
+        Permit::new(move || context.send(ServiceMessage::Dropped { member }))
+    }
+}
+
+fn refuse(acquire: Acquire, class: ErrorClass, text: &'static str, retry_after_ms: u64) {
+    // A caller that went away needs no answer.
+    let _ = acquire.reply.send(Err(Refused {
+        class,
+        text,
+        retry_after_ms,
+    }));
+}
--- /dev/null
+++ b/src/relay/service/grant.rs
@@ -0,0 +1,316 @@
+//! Connections: granted, taken back, opened.
+
+use super::*;
+use crate::{
+    decide::{
+        admission::Admission,
+        dispatch::{ReadCandidate, choose_reader},
+    },
+    relay::{MemberRequest, Result, exchange::request, link::Link},
+};
+
+/// Pause after a connection could not be opened, in milliseconds.
+const OPEN_PAUSE_MS: u64 = 100;
+/// Longest time to roll a transaction back before the connection is closed.
+const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a member that lacked a position counts as behind, in milliseconds.
+const BEHIND_MS: u64 = 250;
+/// When to come back while there is no primary, in milliseconds: a replacement
+/// takes about this long.
+const NO_PRIMARY_RETRY_MS: u64 = 1_000;
+/// When to come back when no replica could be asked, in milliseconds.
+const NO_FLOOR_RETRY_MS: u64 = 300;
+/// When to come back after a full queue, in milliseconds.
+const QUEUE_RETRY_MS: u64 = 200;
+
+impl Service {
+    pub(super) fn acquire(&mut self, acquire: Acquire) {
+        match acquire.want {
+            Want::Primary => self.acquire_primary(acquire),
+            Want::Read {
+                since_ms,
+                floor,
+                max_staleness_ms,
+            } => self.acquire_reader(acquire, since_ms, floor, max_staleness_ms),
+        }
+    }
+
+    fn acquire_primary(&mut self, acquire: Acquire) {
+        let primary = self.primary.clone();
+        let usable = primary.filter(|p| self.members.get(p).is_some_and(|m| m.failures == 0));
+        match usable {
+            Some(primary) => self.serve_on(&primary, acquire),
+            None => self.waiting_primary.push(acquire),
+        }
+    }
+
+    fn acquire_reader(
+        &mut self,
+        acquire: Acquire,
+        since_ms: u64,
+        floor: Option<Position>,
+        max_staleness_ms: u64,
+    ) {
+        let newest_ms = self.ages.newest_ms().unwrap_or(0);
+        if newest_ms + max_staleness_ms / 2 < clock::boot_ms() {
+            self.refresh_floor();
+        }
+        if self.ages.floor(since_ms).is_none() {
+            self.waiting_floor.push(acquire);
+            return;
+        }
+        match self.choose_reader(&acquire, floor.is_some()) {
+            Some(member) => self.serve_on(&member, acquire),
+            None => self.waiting_floor.push(acquire),
+        }
+    }
+
+    fn choose_reader(&self, acquire: &Acquire, has_floor: bool) -> Option<Name> {
+        let now_ms = clock::boot_ms();
+        let now_us = clock::boot_us();
+        let usable = self.members.iter().filter(|(id, m)| {
+            m.is_usable(now_ms) && m.open_after_ms <= now_ms && !acquire.avoid.contains(*id)
+        });
+        let candidates: Vec<ReadCandidate> = usable
+            .map(|(id, m)| ReadCandidate {
+                member: id.clone(),
+                is_primary: self.primary.as_ref() == Some(id),
+                is_behind: m.behind_until_ms > now_ms,
+                mean_ms: m.mean_ms,
+                connections: m.limit(self.entry.connections_max, self.vms, now_us),
+                in_use: m.open - m.idle.len().min(m.open),
+                waiting: m.queue.len(),
+            })
+            .collect();
+        let chosen = choose_reader(&candidates)?;
+        decision!(
+            "route", request = String::from_utf8_lossy(&acquire.id),
+            service = &*self.context.service, member = &*chosen.member,
+            is_primary = chosen.is_primary, is_behind = chosen.is_behind,
+            mean_ms = chosen.mean_ms as u64, in_use = chosen.in_use,
+            waiting = chosen.waiting, has_floor = has_floor,
+            floor_age_ms = now_ms.saturating_sub(self.ages.newest_ms().unwrap_or(0));
+            "read routed"
+        );
+        Some(chosen.member.clone())
+    }
+
+    /// Grants a connection to a member, now or once one is free.
+    fn serve_on(&mut self, id: &Name, acquire: Acquire) {
+        let now_ms = clock::boot_ms();
+        let connections_max = self.entry.connections_max;
+        let vms = self.vms;
+        let Some(member) = self.members.get_mut(id) else {
+            return refuse(
+                acquire,
+                ErrorClass::Busy,
+                "the member is gone",
+                QUEUE_RETRY_MS,
+            );
+        };
+        if member.queue.is_empty()
+            && let Some(link) = member.take_idle(&acquire.values)
+        {
+            return self.grant(id, link, acquire);
+        }
+        let limit = member.limit(connections_max, vms, clock::boot_us());
+        let left_ms = acquire.deadline_ms.saturating_sub(now_ms);
+        if let Admission::Refuse { retry_after_ms } = member.queue.admit(left_ms, limit) {
+            return refuse(
+                acquire,
+                ErrorClass::Busy,
+                "the queue can't be served in time",
+                retry_after_ms,
+            );
+        }
+        member.queue.push(acquire.deadline_ms, acquire);
+        self.open_if_needed(id, limit);
+    }
+
+    fn open_if_needed(&mut self, id: &Name, limit: usize) {
+        let now_ms = clock::boot_ms();
+        let permit = self.permit(id);
+        let (Some(target), Some(member)) = (self.target(id), self.members.get_mut(id)) else {
+            return;
+        };
+        let needs_more = member.queue.len() > member.opening;
+        if !needs_more || member.open >= limit || member.open_after_ms > now_ms {
+            // The permit counts only connections that were counted as open.
+            permit.forget();
+            return;
+        }
+        member.open += 1;
+        member.opening += 1;
+        let context = self.context.clone();
+        let codec = context.options.codecs.member;
+        compio::runtime::spawn(async move {
+            let member = target.member.clone();
+            let result = open(target, codec, permit).await;
+            context.send(ServiceMessage::Opened { member, result });
+        })
+        .detach();
+    }
+
+    fn grant(&mut self, id: &Name, link: Link, acquire: Acquire) {
+        let led_term = self.members.get(id).and_then(Member::led_term);
+        let after = match &acquire.want {
+            Want::Primary => None,
+            Want::Read {
+                since_ms, floor, ..
+            } => self.ages.floor(*since_ms).max(*floor),
+        };
+        let granted = Granted {
+            link,
+            after,
+            led_term,
+        };
+        if let Err(Ok(granted)) = acquire.reply.send(Ok(granted)) {
+            // The caller went away.
+            self.release(granted.link, false, None);
+        }
+    }
+
+    pub(super) fn serve_queue(&mut self, id: &Name) {
+        loop {
+            let Some(member) = self.members.get_mut(id) else {
+                return;
+            };
+            if member.queue.is_empty() {
+                return;
+            }
+            let Some(link) = member.take_idle(&Values::new()) else {
+                let limit = member.limit(self.entry.connections_max, self.vms, clock::boot_us());
+                return self.open_if_needed(id, limit);
+            };
+            let Some(acquire) = member.queue.pop() else {
+                return;
+            };
+            self.grant(id, link, acquire);
+        }
+    }
+
+    pub(super) fn release(&mut self, link: Link, needs_rollback: bool, read_us: Option<u64>) {
+        let id = link.member.clone();
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
+        if let Some(read_us) = read_us {
+            member.record_read(read_us);
+            member.queue.record(read_us);
+        }
+        if needs_rollback {
+            let context = self.context.clone();
+            compio::runtime::spawn(roll_back(context, link)).detach();
+            return;
+        }
+        if member.entry.is_leaving && self.primary.as_ref() != Some(&id) {
+            return;
+        }
+        member.idle.push(link);
+        self.serve_queue(&id);
+    }
+
+    pub(super) fn opened(&mut self, id: &Name, result: Result<Link>) {
+        let now_ms = clock::boot_ms();
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        member.opening = member.opening.saturating_sub(1);
+        match result {
+            Ok(link) => {
+                member.idle.push(link);
+                self.serve_queue(id);
+            }
+            Err(error) => {
+                decision!(
+                    "open", service = &*self.context.service, member = &**id,
+                    reason = error.to_string(); "connection not opened"
+                );
+                member.open_after_ms = now_ms + OPEN_PAUSE_MS;
+                self.suspect(id, false);
+            }
+        }
+    }
+
+    /// Sends what waits for a member that fails to another one.
+    pub(super) fn reroute(&mut self, id: &Name) {
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        for mut acquire in member.queue.drain() {
+            if acquire.want != Want::Primary {
+                acquire.avoid.insert(id.clone());
+            }
+            self.acquire(acquire);
+        }
+    }
+
+    /// Routes what waits for a primary or for a floor, if there is one now.
+    pub(super) fn route_waiting(&mut self) {
+        for acquire in std::mem::take(&mut self.waiting_primary) {
+            self.acquire(acquire);
+        }
+        for mut acquire in std::mem::take(&mut self.waiting_floor) {
+            // Where all members have failed it, each may be tried again.
+            if self.members.keys().all(|id| acquire.avoid.contains(id)) {
+                acquire.avoid.clear();
+            }
+            self.acquire(acquire);
+        }
+    }
+
+    /// Refuses what can't be served any longer.
+    pub(super) fn expire(&mut self, now_ms: u64) {
+        for member in self.members.values_mut() {
+            for acquire in member.queue.expire(now_ms) {
+                refuse(
+                    acquire,
+                    ErrorClass::Busy,
+                    "no connection became free in time",
+                    QUEUE_RETRY_MS,
+                );
+            }
+        }
+        let is_due = |acquire: &mut Acquire| acquire.deadline_ms <= now_ms;
+        for acquire in self.waiting_primary.extract_if(.., is_due) {
+            refuse(
+                acquire,
+                ErrorClass::Busy,
+                "no primary could be used in time",
+                NO_PRIMARY_RETRY_MS,
+            );
+        }
+        for acquire in self.waiting_floor.extract_if(.., is_due) {
+            refuse(
+                acquire,
+                ErrorClass::Busy,
+                "no member could be used in time",
+                NO_FLOOR_RETRY_MS,
+            );
+        }
+    }
+
+    pub(super) fn behind(&mut self, id: &Name) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.behind_until_ms = clock::boot_ms() + BEHIND_MS;
+        }
+    }
+}
+
+/// Ends the transaction that may be open on a connection.
+async fn roll_back(context: ServiceContext, mut link: Link) {
+    let codec = context.options.codecs.member;
+    let ended = request(&mut link, &codec, &MemberRequest::Rollback);
+    let ended = compio::time::timeout(ROLLBACK_TIMEOUT, ended).await;
+    let is_idle = matches!(
+        ended,
+        Ok(Ok(answer)) if answer.state == crate::relay::SessionState::Idle
+    );
+    if is_idle {
+        context.send(ServiceMessage::Release {
+            link,
+            needs_rollback: false,
+            read_us: None,
+        });
+    }
+}
--- /dev/null
+++ b/src/relay/service/probe.rs
@@ -0,0 +1,255 @@
+//! Reports: asked for, and the proofs and floors that follow from them.
+
+use super::*;
+use crate::{
+    decide::standing::{Standing, Testimony, standing, testimonies_needed, witnesses},
+    relay::{MemberCodec, MemberRequest, RelayError, Result, StatusReport, exchange, link::Link},
+};
+
+/// Longest wait for a report: a trip to another region and back, and a full
+/// queue at the member.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause between questions to a member that does not answer, in milliseconds.
+const FAILED_PAUSE_MS: u64 = 100;
+/// Time after which all members are asked for a proof, not only the nearest,
+/// in microseconds: over the time of a trip to another region and back.
+const WIDEN_US: u64 = 120_000;
+/// Time after which a proof is given up, in microseconds.
+const PROOF_TIMEOUT_US: u64 = 600_000;
+
+impl Service {
+    /// Asks a member for a report that is asked for after `since_us`.
+    pub(super) fn want_probe(&mut self, id: &Name, since_us: u64) {
+        if let Some(member) = self.members.get_mut(id) {
+            let wanted = member.probe_after_us.get_or_insert(since_us);
+            *wanted = since_us.max(*wanted);
+        }
+    }
+
+    pub(super) fn start_probes(&mut self, now_ms: u64) {
+        let due: Vec<Name> = self
+            .members
+            .iter()
+            .filter(|(_, m)| m.probing_us.is_none() && m.next_probe_ms <= now_ms)
+            .filter(|(_, m)| m.probe_after_us.is_some() || m.failures > 0)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.start_probe(&id);
+        }
+    }
+
+    fn start_probe(&mut self, id: &Name) {
+        let Some(target) = self.target(id) else {
+            return;
+        };
+        let permit = self.permit(id);
+        let Some(member) = self.members.get_mut(id) else {
+            permit.forget();
+            return;
+        };
+        let asked_us = clock::boot_us();
+        member.probing_us = Some(asked_us);
+        member.probe_after_us = None;
+        // A member that fails is asked on a new connection: the old ones may
+        // have gone silent.
+        let idle = match member.failures {
+            0 => member.take_idle(&Values::new()),
+            _ => None,
+        };
+        let way = match idle {
+            Some(link) => {
+                permit.forget();
+                Way::Open(Box::new(link))
+            }
+            None => {
+                member.open += 1;
+                Way::New(target, permit)
+            }
+        };
+        let context = self.context.clone();
+        let member = id.clone();
+        compio::runtime::spawn(async move {
+            let codec = context.options.codecs.member;
+            let result = compio::time::timeout(PROBE_TIMEOUT, ask(way, &codec)).await;
+            let result = result.unwrap_or(Err(RelayError::Timeout));
+            context.send(ServiceMessage::Probed {
+                member,
+                asked_us,
+                result,
+            });
+        })
+        .detach();
+    }
+
+    pub(super) fn probed(
+        &mut self,
+        id: &Name,
+        asked_us: u64,
+        result: Result<(Link, StatusReport)>,
+    ) {
+        let now_ms = clock::boot_ms();
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        member.probing_us = None;
+        match result {
+            Ok((link, report)) => {
+                if member.failures > 0 {
+                    decision!(
+                        "dependency", service = &*self.context.service, member = &**id,
+                        failures = member.failures; "member regained"
+                    );
+                }
+                member.failures = 0;
+                member.silent_since_us = None;
+                let is_held = report.held_term > report.term;
+                member.held_since_us = match is_held {
+                    true => member.held_since_us.or(Some(asked_us)),
+                    false => None,
+                };
+                member.report = Some((asked_us, report));
+                self.release(link, false, None);
+            }
+            // It answers, but has too much to do.
+            Err(RelayError::Refused { class }) if is_full(class) => {
+                member.next_probe_ms = now_ms + FAILED_PAUSE_MS;
+            }
+            Err(error) => {
+                if member.failures == 0 {
+                    decision!(
+                        "dependency", service = &*self.context.service, member = &**id,
+                        reason = error.to_string(); "member lost"
+                    );
+                }
+                member.failures += 1;
+                member.silent_since_us.get_or_insert(asked_us);
+                member.next_probe_ms = now_ms + FAILED_PAUSE_MS;
+                member.idle.clear();
+                self.reroute(id);
+            }
+        }
+    }
+
+    /// Answers the proofs that the reports give, and asks for more.
+    pub(super) fn settle_proofs(&mut self) {
+        let now_us = clock::boot_us();
+        for proof in std::mem::take(&mut self.proofs) {
+            let standing = self.standing(&proof.primary, proof.since_us);
+            let is_late = now_us >= proof.since_us + PROOF_TIMEOUT_US;
+            match standing {
+                Standing::Proved { term } => {
+                    // The caller may have gone away.
+                    let _ = proof.reply.send(Some(term));
+                }
+                Standing::Open if is_late => {
+                    let _ = proof.reply.send(None);
+                }
+                Standing::Open => {
+                    self.ask_witnesses(&proof.primary, proof.since_us);
+                    self.proofs.push(proof);
+                }
+            }
+        }
+    }
+
+    fn needed(&self) -> usize {
+        testimonies_needed(self.members.len(), self.entry.sync_replicas)
+    }
+
+    fn standing(&self, primary: &Name, since_us: u64) -> Standing {
+        let others = self.members.iter().filter(|(id, _)| *id != primary);
+        let reports = others.filter_map(|(_, m)| m.report);
+        let testimonies = reports.map(|(asked_us, report)| Testimony {
+            asked_us,
+            term: report.term,
+        });
+        standing(testimonies, since_us, self.needed())
+    }
+
+    fn ask_witnesses(&mut self, primary: &Name, since_us: u64) {
+        let others: BTreeMap<Name, (u32, u32)> = self
+            .members
+            .iter()
+            .filter(|(id, _)| *id != primary)
+            .map(|(id, m)| (id.clone(), (m.distance, m.failures)))
+            .collect();
+        let is_slow = clock::boot_us() >= since_us + WIDEN_US;
+        let needed = match is_slow {
+            true => others.len(),
+            false => self.needed(),
+        };
+        for id in witnesses(&others, needed) {
+            self.want_report_since(&id, since_us);
+        }
+    }
+
+    /// Asks unless a report asked for after `since_us` is there or on its way.
+    fn want_report_since(&mut self, id: &Name, since_us: u64) {
+        let Some(member) = self.members.get(id) else {
+            return;
+        };
+        let asked_us = member.report.map(|(asked_us, _)| asked_us);
+        let is_known = asked_us.max(member.probing_us) > Some(since_us);
+        if !is_known {
+            self.want_probe(id, since_us);
+        }
+    }
+
+    pub(super) fn refresh_floor(&mut self) {
+        if self.refresh_since_us.is_none() {
+            self.refresh_since_us = Some(clock::boot_us());
+        }
+    }
+
+    /// Takes a new floor once the primary is proved to lead.
+    pub(super) fn settle_floor(&mut self) {
+        let Some(since_us) = self.refresh_since_us else {
+            return;
+        };
+        let Some(primary) = self.primary.clone() else {
+            self.refresh_since_us = None;
+            return;
+        };
+        if let Some(position) = self.proved_position(&primary, since_us) {
+            self.ages.observe(since_us / 1_000, position);
+            self.refresh_since_us = None;
+            return;
+        }
+        let is_late = clock::boot_us() >= since_us + PROOF_TIMEOUT_US;
+        if is_late {
+            self.refresh_since_us = None;
+            return;
+        }
+        self.want_report_since(&primary, since_us);
+        self.ask_witnesses(&primary, since_us);
+    }
+
+    fn proved_position(&self, primary: &Name, since_us: u64) -> Option<Position> {
+        let (asked_us, report) = self.members.get(primary)?.report?;
+        let Standing::Proved { term } = self.standing(primary, since_us) else {
+            return None;
+        };
+        let leads = report.role == Role::Primary && asked_us > since_us && term <= report.term;
+        leads.then_some(report.received)
+    }
+}
+
+fn is_full(class: ErrorClass) -> bool {
+    matches!(class, ErrorClass::Busy | ErrorClass::ConnectionLimit)
+}
+
+/// How a member is reached for a question.
+enum Way {
+    Open(Box<Link>),
+    New(Target, Permit),
+}
+
+async fn ask(way: Way, codec: &MemberCodec) -> Result<(Link, StatusReport)> {
+    let mut link = match way {
+        Way::Open(link) => *link,
+        Way::New(target, permit) => open(target, *codec, permit).await?,
+    };
+    let report = exchange::report(&mut link, codec, &MemberRequest::Status).await?;
+    Ok((link, report))
+}
--- /dev/null
+++ b/src/relay/service/watch.rs
@@ -0,0 +1,187 @@
+//! Watching the primary, and having it replaced.
+
+use rand::Rng;
+
+use super::*;
+use crate::{
+    decide::takeover::{PrimaryHealth, TakeoverSettings, doubt},
+    relay::takeover::{self, Rival, TakeoverPlan},
+};
+
+/// Limits of the decision to replace a primary. Silence: two questions of the
+/// probe's length; stuck: longer than a route's usual timeout; unfinished: the
+/// time of one attempt; missing: time for all members to report after a start.
+const SETTINGS: TakeoverSettings = TakeoverSettings {
+    silent_ms: 250,
+    failures: 2,
+    stuck_ms: 900,
+    unfinished_ms: 2_500,
+    missing_ms: 1_200,
+};
+/// Time by which VMs spread their first attempts, in milliseconds.
+const SPREAD_MS: u64 = 150;
+/// Pause after an attempt, in milliseconds.
+const PAUSE_MS: u64 = 800;
+/// Time after which a member that is missing from the list counts as gone for
+/// good, in milliseconds: longer than a member that fell silent may take to
+/// come back with its log.
+const GONE_MS: u64 = 12_000;
+/// Time after which a member that is missing from the list is forgotten, in
+/// milliseconds.
+pub(super) const FORGET_MS: u64 = 60_000;
+/// Time between questions to a member while the primary is in doubt, in microseconds.
+const RECENT_US: u64 = 1_500_000;
+
+impl Service {
+    /// A statement on a member broke off or is late: ask it.
+    pub(super) fn suspect(&mut self, id: &Name, is_commit: bool) {
+        if is_commit && self.primary.as_ref() == Some(id) {
+            self.stuck_since_ms.get_or_insert(clock::boot_ms());
+        }
+        self.want_probe(id, clock::boot_us());
+    }
+
+    pub(super) fn not_primary(&mut self, id: &Name) {
+        if let Some(member) = self.members.get_mut(id)
+            && let Some((_, report)) = &mut member.report
+        {
+            report.role = Role::Replica;
+        }
+        let now_us = clock::boot_us();
+        let members: Vec<Name> = self.members.keys().cloned().collect();
+        for id in members {
+            self.want_probe(&id, now_us);
+        }
+    }
+
+    fn health(&self, now_ms: u64) -> PrimaryHealth {
+        let now_us = clock::boot_us();
+        let is_recent = |m: &Member| {
+            let asked_us = m.report.map(|(asked_us, _)| asked_us);
+            m.failures == 0 && asked_us.is_some_and(|at| now_us < at + RECENT_US)
+        };
+        let held = self.members.values().filter_map(|m| m.held_since_us).min();
+        let mut health = PrimaryHealth {
+            held_ms: held.map_or(0, |at| now_us.saturating_sub(at) / 1_000),
+            stuck_ms: self
+                .stuck_since_ms
+                .map_or(0, |at| now_ms.saturating_sub(at)),
+            missing_ms: now_ms.saturating_sub(self.missing_since_ms),
+            ..PrimaryHealth::default()
+        };
+        let Some((id, primary)) = self
+            .primary
+            .as_ref()
+            .and_then(|p| self.members.get_key_value(p))
+        else {
+            health.others_answer = self.members.values().any(is_recent);
+            return health;
+        };
+        let others = self.members.iter().filter(|(other, _)| *other != id);
+        let since = primary.silent_since_us;
+        health.is_known = true;
+        health.is_leaving = primary.is_going(now_ms);
+        health.failures = primary.failures;
+        health.silent_ms = since.map_or(0, |at| now_us.saturating_sub(at) / 1_000);
+        health.others_answer = others.into_iter().any(|(_, m)| is_recent(m));
+        health
+    }
+
+    pub(super) fn watch_primary(&mut self, now_ms: u64) {
+        let health = self.health(now_ms);
+        self.ask_in_doubt(&health);
+        let reason = doubt(&health, &SETTINGS);
+        match (self.takeover, reason) {
+            (Takeover::Pausing { until_ms }, _) if now_ms >= until_ms => {
+                self.takeover = Takeover::Calm;
+            }
+            (Takeover::Calm, Some(reason)) => {
+                let spread_ms = rand::rng().random_range(0..SPREAD_MS);
+                self.takeover = Takeover::Due {
+                    reason,
+                    start_ms: now_ms + spread_ms,
+                };
+            }
+            (Takeover::Due { .. }, None) => self.takeover = Takeover::Calm,
+            (Takeover::Due { reason, start_ms }, Some(_)) if now_ms >= start_ms => {
+                self.start_takeover(reason, &health, now_ms);
+            }
+            _ => {}
+        }
+    }
+
+    /// While the primary is in doubt, or somebody else may be replacing it,
+    /// the members are asked until it is clear who leads.
+    fn ask_in_doubt(&mut self, health: &PrimaryHealth) {
+        let is_doubtful = !health.is_known
+            || health.failures > 0
+            || health.is_leaving
+            || health.stuck_ms > 0
+            || health.held_ms > 0;
+        if !is_doubtful {
+            return;
+        }
+        let now_us = clock::boot_us();
+        let stale: Vec<Name> = self
+            .members
+            .iter()
+            .filter(|(_, m)| m.probing_us.is_none())
+            .filter(|(_, m)| m.report.is_none_or(|(at, _)| now_us >= at + 100_000))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in stale {
+            self.want_probe(&id, now_us);
+        }
+    }
+
+    fn start_takeover(&mut self, reason: Reason, health: &PrimaryHealth, now_ms: u64) {
+        decision!(
+            "takeover", service = &*self.context.service,
+            primary = self.primary.as_deref().unwrap_or("none"),
+            reason = reason.to_string(), silent_ms = health.silent_ms,
+            failures = health.failures, stuck_ms = health.stuck_ms,
+            held_ms = health.held_ms, term = self.highest_term();
+            "replacing the primary"
+        );
+        let is_gone = |m: &Member| {
+            let since = m.unlisted_since_ms;
+            since.is_some_and(|at| now_ms >= at + GONE_MS) && m.failures > 0
+        };
+        let rivals = self.members.iter().map(|(id, m)| Rival {
+            target: Target {
+                service: self.context.service.clone(),
+                member: id.clone(),
+                address: m.entry.address,
+            },
+            is_primary: self.primary.as_ref() == Some(id),
+            is_leaving: m.is_going(now_ms),
+            is_gone: is_gone(m),
+        });
+        let held = self.members.values().filter_map(|m| m.report);
+        let highest = held.map(|(_, r)| r.term.max(r.held_term)).max();
+        let plan = TakeoverPlan {
+            context: self.context.clone(),
+            rivals: rivals.collect(),
+            term: highest.unwrap_or(0) + 1,
+            reason,
+        };
+        self.takeover = Takeover::Running;
+        compio::runtime::spawn(takeover::run(plan)).detach();
+    }
+
+    pub(super) fn takeover_ended(&mut self, promoted: Option<Name>) {
+        let now_ms = clock::boot_ms();
+        self.takeover = Takeover::Pausing {
+            until_ms: now_ms + PAUSE_MS,
+        };
+        self.stuck_since_ms = None;
+        let now_us = clock::boot_us();
+        let members: Vec<Name> = match promoted {
+            Some(id) => vec![id],
+            None => self.members.keys().cloned().collect(),
+        };
+        for id in members {
+            self.want_probe(&id, now_us);
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/session/attempt.rs
@@ -0,0 +1,280 @@
+//! One attempt to run a statement on a member.
+
+use std::future::Future;
+
+use futures::channel::oneshot;
+
+use super::*;
+use crate::{
+    decide::member::Role,
+    relay::{
+        Access, Consistency, MemberCodec, MemberRequest, StatusReport, exchange,
+        link::Link,
+        message::{Acquire, Granted, Refused, ServiceMessage, Want},
+    },
+};
+
+/// Time after which a member that has not answered is asked how it is: over
+/// the time of a long statement and a trip to another region and back.
+const LATE: Duration = Duration::from_millis(200);
+/// Rounding of times to milliseconds, on both sides of a comparison.
+const ROUNDING_MS: u64 = 2;
+/// Part of a route's time-out that a statement may wait for a connection; the
+/// rest is for running it.
+const WAIT_SHARE: f64 = 0.75;
+
+/// A statement on its way to a member.
+pub(super) struct Call<'a> {
+    pub(super) statement: &'a Statement,
+    pub(super) shape: Option<&'a Shape>,
+    pub(super) after: Option<Position>,
+    /// Whether the member is asked for a report right after it.
+    pub(super) wants_report: bool,
+}
+
+/// What an attempt brought.
+pub(super) struct Outcome {
+    pub(super) answer: Answer,
+    pub(super) report: Option<StatusReport>,
+}
+
+/// Whether a statement writes.
+pub(super) fn is_write(statement: &Statement, shape: Option<&Shape>) -> bool {
+    match (&statement.kind, shape) {
+        (StatementKind::Write, _) => true,
+        (_, Some(shape)) => shape.access == Access::Write,
+        _ => false,
+    }
+}
+
+/// Sends a statement with what it needs of the session, and reads the answer.
+pub(super) async fn run(
+    link: &mut Link,
+    codec: &MemberCodec,
+    values: &Values,
+    call: &Call<'_>,
+) -> Result<Outcome> {
+    let mut output = BytesMut::new();
+    let skipped = exchange::put_session(&mut output, codec, link, values, call.shape);
+    let statement = call.statement;
+    match (&statement.kind, call.shape) {
+        (StatementKind::Execute { arguments, .. }, Some(shape)) => (codec.encode)(
+            &mut output,
+            &MemberRequest::Execute {
+                id: &statement.id,
+                after: call.after,
+                name: &shape.name,
+                arguments,
+            },
+        ),
+        _ => (codec.encode)(
+            &mut output,
+            &MemberRequest::Caller {
+                id: &statement.id,
+                after: call.after,
+                text: &statement.text,
+            },
+        ),
+    }
+    if call.wants_report {
+        (codec.encode)(&mut output, &MemberRequest::Status);
+    }
+    link.socket.write(output).await?;
+    exchange::skip_answers(link, codec, skipped).await?;
+    let answer = exchange::read_answer(link, codec).await?;
+    if !call.wants_report {
+        let report = None;
+        return Ok(Outcome { answer, report });
+    }
+    let second = exchange::read_answer(link, codec).await?;
+    // A member that is too busy to report proves nothing.
+    let report = (codec.report)(&second.body).ok();
+    Ok(Outcome { answer, report })
+}
+
+/// Begins a transaction on a connection that has the session's values.
+pub(super) async fn begin(
+    link: &mut Link,
+    codec: &MemberCodec,
+    values: &Values,
+    after: Option<Position>,
+    is_read_only: bool,
+) -> Result<Answer> {
+    let mut output = BytesMut::new();
+    let skipped = exchange::put_session(&mut output, codec, link, values, None);
+    let request = MemberRequest::Begin {
+        after,
+        is_read_only,
+    };
+    (codec.encode)(&mut output, &request);
+    link.socket.write(output).await?;
+    exchange::skip_answers(link, codec, skipped).await?;
+    exchange::read_answer(link, codec).await
+}
+
+/// A proof that was asked for.
+pub(super) type Proof = oneshot::Receiver<Option<u64>>;
+
+impl Session<'_> {
+    pub(super) fn send(&self, service: &Name, message: ServiceMessage) {
+        if let Some(mailbox) = self.shared.service(service) {
+            // The task ends only with the process.
+            let _ = mailbox.send(message);
+        }
+    }
+
+    /// What a read on a route asks for, if it may go to a replica.
+    pub(super) fn want_read(&self, route: &Route, arrived_us: u64) -> Want {
+        let (max_staleness_ms, floor) = match route.consistency {
+            Consistency::Primary => return Want::Primary,
+            Consistency::Bounded { max_staleness_ms } => (max_staleness_ms, None),
+            Consistency::ReadYourWrites { max_staleness_ms } => (max_staleness_ms, self.floor),
+        };
+        let since_ms = (arrived_us / 1_000).saturating_sub(max_staleness_ms);
+        Want::Read {
+            since_ms: since_ms + ROUNDING_MS,
+            floor,
+            max_staleness_ms,
+        }
+    }
+
+    /// Asks the service for a connection.
+    pub(super) async fn acquire(
+        &self,
+        route: &Route,
+        statement: &Statement,
+        want: Want,
+        avoid: BTreeSet<Name>,
+        arrived_us: u64,
+    ) -> std::result::Result<Granted, Refused> {
+        let wait_ms = (route.timeout_ms as f64 * WAIT_SHARE) as u64;
+        let (reply, granted) = oneshot::channel();
+        let acquire = Acquire {
+            id: statement.id.clone(),
+            want,
+            deadline_ms: arrived_us / 1_000 + wait_ms,
+            priority: route.priority,
+            avoid,
+            values: self.values.clone(),
+            reply,
+        };
+        self.send(&route.service, ServiceMessage::Acquire(acquire));
+        let lost = Refused {
+            class: ErrorClass::Busy,
+            text: "the service is not served",
+            retry_after_ms: 0,
+        };
+        granted.await.unwrap_or(Err(lost))
+    }
+
+    /// Waits for an attempt; has the member asked when it is late.
+    pub(super) async fn watch<T>(
+        &self,
+        service: &Name,
+        member: &Name,
+        is_commit: bool,
+        limit_ms: u64,
+        attempt: impl Future<Output = Result<T>>,
+    ) -> Result<T> {
+        let mut attempt = std::pin::pin!(attempt);
+        let limit = Duration::from_millis(limit_ms);
+        let first = LATE.min(limit);
+        if let Ok(result) = compio::time::timeout(first, attempt.as_mut()).await {
+            return result;
+        }
+        self.suspect(service, member, is_commit);
+        let rest = limit.saturating_sub(first);
+        let result = compio::time::timeout(rest, attempt).await;
+        result.unwrap_or(Err(RelayError::Timeout))
+    }
+
+    pub(super) fn suspect(&self, service: &Name, member: &Name, is_commit: bool) {
+        let member = member.clone();
+        self.send(service, ServiceMessage::Suspect { member, is_commit });
+    }
+
+    pub(super) fn prove(&self, service: &Name, primary: &Name, since_us: u64) -> Proof {
+        let (reply, proof) = oneshot::channel();
+        let message = ServiceMessage::Prove {
+            primary: primary.clone(),
+            since_us,
+            reply,
+        };
+        self.send(service, message);
+        proof
+    }
+
+    pub(super) fn give_back(
+        &self,
+        service: &Name,
+        link: Link,
+        needs_rollback: bool,
+        read_us: Option<u64>,
+    ) {
+        let message = ServiceMessage::Release {
+            link,
+            needs_rollback,
+            read_us,
+        };
+        self.send(service, message);
+    }
+
+    /// Takes note of a commit that was acknowledged.
+    ///
+    /// A replica confirmed it after it was sent, so nobody else led then: all
+    /// that was acknowledged before lies at or before its position.
+    pub(super) fn committed(&mut self, route: &Route, answer: &Answer, sent_us: u64) {
+        let Some(position) = answer.position else {
+            return;
+        };
+        self.floor = self.floor.max(Some(position));
+        if self.shared.sync_replicas(&route.service) > 0 {
+            let since_ms = sent_us / 1_000;
+            self.send(
+                &route.service,
+                ServiceMessage::Observed { since_ms, position },
+            );
+        }
+        self.send(&route.service, ServiceMessage::Committed);
+    }
+
+    /// What follows for the service from an answer that says it was not run.
+    pub(super) fn note_refusal(&self, service: &Name, member: &Name, class: ErrorClass) {
+        let member = member.clone();
+        match class {
+            ErrorClass::ReadOnly => self.send(service, ServiceMessage::NotPrimary { member }),
+            ErrorClass::Lagging => self.send(service, ServiceMessage::Behind { member }),
+            ErrorClass::WrongMember => self.suspect(service, &member, false),
+            _ => {}
+        }
+    }
+}
+
+/// Whether the error says that the statement was not run and may be run
+/// elsewhere.
+pub(super) fn is_not_run(class: ErrorClass) -> bool {
+    matches!(
+        class,
+        ErrorClass::Busy
+            | ErrorClass::Lagging
+            | ErrorClass::ReadOnly
+            | ErrorClass::WrongMember
+            | ErrorClass::ConnectionLimit
+            | ErrorClass::NoStatement
+    )
+}
+
+/// Whether a report and the others' terms prove that the member led when the
+/// read ran.
+pub(super) fn is_proved(report: &StatusReport, others_term: Option<u64>) -> bool {
+    report.role == Role::Primary && others_term.is_some_and(|term| term <= report.term)
+}
+
+/// The reply to a request that was refused.
+pub(super) fn refused(refused: Refused) -> Reply {
+    let text = format!(
+        "{}; retry after {} ms",
+        refused.text, refused.retry_after_ms
+    );
+    Reply::Error(refused.class, text)
+}
--- /dev/null
+++ b/src/relay/socket.rs
@@ -0,0 +1,88 @@
+//! A socket with its input.
+
+use bytes::BytesMut;
+use compio::{
+    BufResult,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+use super::{RelayError, Result};
+
+/// Bytes reserved before a read: most requests and answers fit.
+const READ_BYTES: usize = 2 << 10;
+
+/// A socket with its input, owned by one task.
+pub struct Socket {
+    stream: TcpStream,
+    /// Bytes that came and were not taken.
+    pub input: BytesMut,
+}
+
+impl Socket {
+    /// Wraps a stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stream is already closed.
+    pub fn new(stream: TcpStream) -> Result<Socket> {
+        // Small answers must not wait for the receipt of earlier ones.
+        stream.set_nodelay(true)?;
+        Ok(Socket {
+            stream,
+            input: BytesMut::new(),
+        })
+    }
+
+    /// Another handle of the same stream, to write while this one reads.
+    pub fn writer(&self) -> TcpStream {
+        self.stream.clone()
+    }
+
+    /// Reads more bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RelayError::Closed`] at the end of the stream.
+    pub async fn fill(&mut self) -> Result<()> {
+        let mut buffer = std::mem::take(&mut self.input);
+        buffer.reserve(READ_BYTES);
+        let BufResult(result, buffer) = (&self.stream).append(buffer).await;
+        self.input = buffer;
+        match result? {
+            0 => Err(RelayError::Closed),
+            _ => Ok(()),
+        }
+    }
+
+    /// Writes all of `output`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection ends.
+    pub async fn write(&self, output: BytesMut) -> Result<()> {
+        write(&self.stream, output).await
+    }
+
+    /// Whether the other side closed the connection or sent what nobody asked for.
+    pub fn is_stale(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let socket = socket2::SockRef::from(&self.stream);
+        let is_quiet = match socket.peek(&mut byte) {
+            Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+            Ok(_) => false,
+        };
+        !is_quiet || !self.input.is_empty()
+    }
+}
+
+/// Writes all of `output` to a stream.
+///
+/// # Errors
+///
+/// Returns an error when the connection ends.
+pub async fn write(stream: &TcpStream, output: BytesMut) -> Result<()> {
+    let mut stream = stream;
+    let BufResult(result, _) = stream.write_all(output).await;
+    Ok(result?)
+}
--- /dev/null
+++ b/src/relay/takeover.rs
@@ -0,0 +1,266 @@
+//! One attempt to replace a primary: claim, fence, choose, promote.
+
+use std::cell::{Cell, RefCell};
+
+use futures::future::join_all;
+use rand::Rng;
+
+use super::{
+    Claim, MemberCodec, MemberRequest, PromoteOutcome, Promotion, Result, StatusReport, exchange,
+    message::ServiceMessage,
+    open::{Target, open},
+    service::ServiceContext,
+};
+use crate::{
+    clock,
+    decide::{
+        member::Role,
+        takeover::{Candidate, Choice, Fenced, Reason, choose},
+    },
+    decision_log::decision,
+    prelude::*,
+    proxy::link::Permit,
+};
+
+/// Longest time from the claim to the order to promote, in milliseconds; less
+/// than the time for which others respect the claim.
+const ATTEMPT_MS: u64 = 2_500;
+/// Longest time of one order to a member: a trip to another region and back,
+/// a new connection, and a full queue there.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause between two rounds of orders, in milliseconds.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// Rounds in which replicas may catch up with a primary that stepped down.
+const CATCH_UP_ROUNDS: u32 = 4;
+/// Longest time until a promoted member leads, in milliseconds.
+const LEAD_MS: u64 = 4_000;
+
+/// A member of the group.
+#[derive(Clone, Debug)]
+pub struct Rival {
+    /// Where it is.
+    pub target: Target,
+    /// Whether it is the primary that is replaced.
+    pub is_primary: bool,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// Whether it is gone for good.
+    pub is_gone: bool,
+}
+
+/// What an attempt starts from.
+pub struct TakeoverPlan {
+    /// The service.
+    pub context: ServiceContext,
+    /// Members.
+    pub rivals: Vec<Rival>,
+    /// Term of the successor, for the orders to the members.
+    pub term: u64,
+    /// Why the primary is replaced.
+    pub reason: Reason,
+}
+
+/// Runs one attempt and tells the service's task how it ended.
+pub async fn run(plan: TakeoverPlan) {
+    let started_ms = clock::boot_ms();
+    let authority = plan.context.options.authority.clone();
+    let service = plan.context.service.clone();
+    let claim = (authority.claim)(service.clone()).await;
+    let promoted = match &claim {
+        Some(claim) => attempt(&plan, claim, started_ms).await,
+        None => {
+            decision!("takeover", service = &*service; "claim not granted");
+            None
+        }
+    };
+    decision!(
+        "takeover", service = &*service, reason = plan.reason.to_string(),
+        promoted = promoted.as_deref().unwrap_or("none"),
+        took_ms = clock::boot_ms() - started_ms; "attempt ended"
+    );
+    plan.context
+        .send(ServiceMessage::TakeoverEnded { promoted });
+    if let Some(claim) = claim {
+        (authority.release)(service, claim).await;
+    }
+}
+
+async fn attempt(plan: &TakeoverPlan, claim: &Claim, started_ms: u64) -> Option<Name> {
+    let fenced = RefCell::new(BTreeMap::new());
+    let is_outdated = Cell::new(false);
+    let mut refused = BTreeSet::new();
+    let mut round = 0;
+    while clock::boot_ms() < started_ms + ATTEMPT_MS {
+        fence(plan, &fenced, &is_outdated).await;
+        if is_outdated.get() {
+            break;
+        }
+        round += 1;
+        let candidates = candidates(plan, &fenced.borrow(), &refused);
+        let choice = choose(&candidates);
+        decision!(
+            "takeover", service = &*plan.context.service, fence = claim.fence,
+            term = plan.term, round = round, choice = format!("{choice:?}"),
+            members = format!("{candidates:?}"); "successor weighed"
+        );
+        let Choice::Promote(member) = choice else {
+            compio::time::sleep(ROUND_PAUSE).await;
+            continue;
+        };
+        let is_primary = |r: &&Rival| r.is_primary && r.target.member == member;
+        let falls_back = plan.rivals.iter().any(|r| is_primary(&r));
+        if falls_back && round < CATCH_UP_ROUNDS {
+            compio::time::sleep(ROUND_PAUSE).await;
+            continue;
+        }
+        if clock::boot_ms() >= started_ms + ATTEMPT_MS {
+            break;
+        }
+        match promote(plan, claim, &member).await {
+            PromoteOutcome::Accepted => {
+                await_lead(plan, &member).await;
+                resume(plan, &fenced.borrow()).await;
+                return Some(member);
+            }
+            PromoteOutcome::Refused => {
+                refused.insert(member);
+            }
+            // The order may have been carried out: the same one is sent again.
+            PromoteOutcome::Unknown => {}
+        }
+    }
+    resume(plan, &fenced.borrow()).await;
+    None
+}
+
+/// Orders all members that are not fenced yet to stop, at once.
+///
+/// A member that leads without being the one that is replaced makes the plan
+/// outdated.
+async fn fence(
+    plan: &TakeoverPlan,
+    fenced: &RefCell<BTreeMap<Name, Fenced>>,
+    is_outdated: &Cell<bool>,
+) {
+    let open = plan.rivals.iter();
+    let open = open.filter(|r| !fenced.borrow().contains_key(&r.target.member));
+    let open: Vec<&Rival> = open.collect();
+    let orders = open.into_iter().map(|rival| async move {
+        let order = match rival.is_primary {
+            true => MemberRequest::StepDown { term: plan.term },
+            false => MemberRequest::Hold { term: plan.term },
+        };
+        let report = order_member(plan, &rival.target, &order).await;
+        let name = &rival.target.member;
+        match report {
+            Ok(report) if is_fenced(plan, rival, &report) => {
+                let received = report.received;
+                fenced
+                    .borrow_mut()
+                    .insert(name.clone(), Fenced { received });
+            }
+            Ok(report) if report.role == Role::Primary && !rival.is_primary => {
+                is_outdated.set(true);
+            }
+            Ok(report) => decision!(
+                "takeover", service = &*plan.context.service, member = &**name,
+                report = format!("{report:?}"); "member not fenced"
+            ),
+            Err(error) => decision!(
+                "takeover", service = &*plan.context.service, member = &**name,
+                reason = error.to_string(); "member not reached"
+            ),
+        }
+    });
+    join_all(orders).await;
+}
+
+/// A primary is fenced once it follows; a replica once it does not receive. A
+/// replica that turns out to lead is not.
+fn is_fenced(plan: &TakeoverPlan, rival: &Rival, report: &StatusReport) -> bool {
+    if report.role == Role::Primary {
+        return false;
+    }
+    rival.is_primary || report.held_term >= plan.term
+}
+
+fn candidates(
+    plan: &TakeoverPlan,
+    fenced: &BTreeMap<Name, Fenced>,
+    refused: &BTreeSet<Name>,
+) -> Vec<Candidate> {
+    let rivals = plan.rivals.iter().map(|rival| {
+        let member = &rival.target.member;
+        let is_refused = refused.contains(member);
+        Candidate {
+            member: member.clone(),
+            is_primary: rival.is_primary,
+            is_leaving: rival.is_leaving || is_refused,
+            is_gone: rival.is_gone,
+            fenced: fenced.get(member).copied().filter(|_| !is_refused),
+        }
+    });
+    rivals.collect()
+}
+
+async fn order_member(
+    plan: &TakeoverPlan,
+    target: &Target,
+    order: &MemberRequest<'_>,
+) -> Result<StatusReport> {
+    let codec: MemberCodec = plan.context.options.codecs.member;
+    let call = async {
+        // These connections are few and short: they are not counted.
+        let permit = Permit::new(|| {});
+        let mut link = open(target.clone(), codec, permit).await?;
+        exchange::report(&mut link, &codec, order).await
+    };
+    let answered = compio::time::timeout(ORDER_TIMEOUT, call).await;
+    answered.unwrap_or(Err(super::RelayError::Timeout))
+}
+
+async fn promote(plan: &TakeoverPlan, claim: &Claim, member: &Name) -> PromoteOutcome {
+    let promotion = Promotion {
+        service: plan.context.service.clone(),
+        member: member.clone(),
+        fence: claim.fence,
+    };
+    let outcome = (plan.context.options.authority.promote)(promotion).await;
+    decision!(
+        "takeover", service = &*plan.context.service, member = &**member,
+        fence = claim.fence, outcome = outcome.to_string(); "promotion ordered"
+    );
+    outcome
+}
+
+/// Waits until the member leads, as it says itself.
+async fn await_lead(plan: &TakeoverPlan, member: &Name) {
+    let deadline_ms = clock::boot_ms() + LEAD_MS;
+    let rival = plan.rivals.iter().find(|r| r.target.member == *member);
+    let Some(rival) = rival else { return };
+    while clock::boot_ms() < deadline_ms {
+        let report = order_member(plan, &rival.target, &MemberRequest::Status).await;
+        if report.is_ok_and(|r| r.role == Role::Primary) {
+            return;
+        }
+        let pause_ms = rand::rng().random_range(20..60);
+        compio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Lets the members receive again that still do not.
+async fn resume(plan: &TakeoverPlan, fenced: &BTreeMap<Name, Fenced>) {
+    let held = plan.rivals.iter().filter(|r| !r.is_primary);
+    let held = held.filter(|r| fenced.contains_key(&r.target.member));
+    let orders = held.map(|r| async move {
+        let result = order_member(plan, &r.target, &MemberRequest::Resume).await;
+        if let Err(error) = result {
+            decision!(
+                "takeover", service = &*plan.context.service,
+                member = &*r.target.member, reason = error.to_string();
+                "member not resumed"
+            );
+        }
+    });
+    join_all(orders).await;
+}
--- a/src/platform/client.rs
+++ b/src/store/client.rs
@@ -4,7 +4,7 @@
 
 use serde::{Serialize, de::DeserializeOwned};
 
-use super::{ListedVm, PlatformError, Result, Row, Written};
+use super::{ListedVm, Result, Row, StoreError, Written};
 use crate::prelude::*;
 
 /// Longest time of one call.
@@ -20,7 +20,7 @@
 
 /// Client of the platform's services.
 #[derive(Clone)]
-pub struct PlatformClient {
+pub struct StoreClient {
     http: cyper::Client,
     base: Arc<str>,
 }
@@ -37,15 +37,15 @@
     body: bytes::Bytes,
 }
 
-impl PlatformClient {
+impl StoreClient {
     /// Creates a client of the platform at `address`.
     ///
     /// # Errors
     ///
     /// Returns an error when the HTTP client can't be set up.
-    pub fn new(address: SocketAddr) -> Result<PlatformClient> {
-        Ok(PlatformClient {
-            http: cyper::Client::new().map_err(PlatformError::unavailable)?,
+    pub fn new(address: SocketAddr) -> Result<StoreClient> {
+        Ok(StoreClient {
+            http: cyper::Client::new().map_err(StoreError::unavailable)?,
             base: format!("http://{address}").into(),
         })
     }
@@ -78,7 +78,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`PlatformError::Unknown`] when that does not tell.
+    /// Returns [`StoreError::Unknown`] when that does not tell.
     pub async fn write<T: Serialize + DeserializeOwned>(
         &self,
         key: &str,
@@ -136,7 +136,7 @@
         key: &str,
         expect_version: u64,
         change_id: &str,
-        error: &PlatformError,
+        error: &StoreError,
     ) -> Result<Written<T>> {
         for _ in 0..RESOLVE_ATTEMPTS {
             compio::time::sleep(RESOLVE_PAUSE).await;
@@ -154,23 +154,23 @@
             // At the old version the write may still be on its way; at a
             // later one it may have been made and written over.
         }
-        Err(PlatformError::Unknown {
+        Err(StoreError::Unknown {
             text: error.to_string(),
         })
     }
 
     async fn get(&self, path: &str) -> Result<Answer> {
         let url = format!("{}/{path}", self.base);
-        let request = self.http.get(url).map_err(PlatformError::unavailable)?;
+        let request = self.http.get(url).map_err(StoreError::unavailable)?;
         self.send(request).await
     }
 
     async fn put(&self, path: &str, body: Vec<u8>) -> Result<Answer> {
         let url = format!("{}/{path}", self.base);
-        let request = self.http.put(url).map_err(PlatformError::unavailable)?;
+        let request = self.http.put(url).map_err(StoreError::unavailable)?;
         let request = request
             .header("content-type", "application/json")
-            .map_err(PlatformError::unavailable)?;
+            .map_err(StoreError::unavailable)?;
         self.send(request.body(body)).await
     }
 
@@ -183,11 +183,11 @@
         };
         let answer = compio::time::timeout(CALL_TIMEOUT, call)
             .await
-            .map_err(|_| PlatformError::unavailable("no answer in time"))?
-            .map_err(PlatformError::unavailable)?;
+            .map_err(|_| StoreError::unavailable("no answer in time"))?
+            .map_err(StoreError::unavailable)?;
         match answer.status {
             OK | NOT_FOUND | CONFLICT => Ok(answer),
-            status => Err(PlatformError::unavailable(format!("status {status}"))),
+            status => Err(StoreError::unavailable(format!("status {status}"))),
         }
     }
 }
@@ -198,8 +198,8 @@
     }
 }
 
-fn bad_answer(error: serde_json::Error) -> PlatformError {
-    PlatformError::BadAnswer {
+fn bad_answer(error: serde_json::Error) -> StoreError {
+    StoreError::BadAnswer {
         text: error.to_string(),
     }
 }
--- a/src/platform/error.rs
+++ b/src/store/error.rs
@@ -4,7 +4,7 @@
 
 /// Why a call to the platform failed.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
-pub enum PlatformError {
+pub enum StoreError {
     /// It did not answer; nothing was changed by a read.
     #[display("the platform does not answer: {text}")]
     Unavailable {
@@ -26,20 +26,20 @@
 }
 
 /// Result of this module.
-pub type Result<T> = std::result::Result<T, PlatformError>;
+pub type Result<T> = std::result::Result<T, StoreError>;
 
-impl PlatformError {
+impl StoreError {
     /// The numbered code.
     pub fn code(&self) -> Code {
         match self {
-            PlatformError::Unknown { .. } => Code::PlatformUnknown,
+            StoreError::Unknown { .. } => Code::PlatformUnknown,
             _ => Code::PlatformUnavailable,
         }
     }
 
     /// An error of a call that got no usable answer.
-    pub fn unavailable(text: impl ToString) -> PlatformError {
-        PlatformError::Unavailable {
+    pub fn unavailable(text: impl ToString) -> StoreError {
+        StoreError::Unavailable {
             text: text.to_string(),
         }
     }
--- a/src/platform/mod.rs
+++ b/src/store/mod.rs
@@ -5,7 +5,7 @@
 mod row;
 mod vm;
 
-pub use client::PlatformClient;
-pub use error::{PlatformError, Result};
+pub use client::StoreClient;
+pub use error::{Result, StoreError};
 pub use row::{Row, Written};
 pub use vm::ListedVm;
--- a/standin/src/bin/load.rs
+++ b/standin/src/bin/load.rs
@@ -1,6 +1,6 @@
 //! The load tool: starts a bench on loopback, measures, prints JSON lines.
 
-use std::time::Duration;
+use std::{process::ExitCode, time::Duration};
 
 use bpaf::Bpaf;
 use serde_json::json;
@@ -95,7 +95,7 @@
     },
 }
 
-fn main() {
+fn main() -> ExitCode {
     match command().run() {
         Command::Share {
             lag_ms,
@@ -127,12 +127,13 @@
             rate,
             prepared,
         } => measure_latency(length_s, rate, prepared),
-        Command::Demo => demo(),
+        Command::Demo => return demo(),
         Command::Idle => measure_idle(),
         Command::Slopes { vms: Some(vms) } => slopes::run_at(vms, ALLOCATOR),
         Command::Slopes { vms: None } => slopes::run(),
         Command::Control { length_s } => slopes::control(Duration::from_secs(length_s)),
     }
+    ExitCode::SUCCESS
 }
 
 fn measure_share(lags_ms: &[u64], reads: usize, replay: bool, acknowledge: &str) {
@@ -273,7 +274,8 @@
     }
 }
 
-fn demo() {
+/// Fails when a promise was broken.
+fn demo() -> ExitCode {
     println!("starting the platform, three members and three proxies on loopback");
     let settings = BenchSettings::builder().proxies(3).connect_ms(12).build();
     let mut bench = Bench::start(settings);
@@ -294,6 +296,7 @@
         "reads served by replicas: {share:.1} % (stale: {})",
         report.stale
     );
+    let stale = report.stale;
     println!("8 sessions write; the primary is killed");
     let report = failover::run(&mut bench, PrimaryFault::Kill, 8, false);
     let (before, after) = report.primaries;
@@ -305,6 +308,12 @@
         report.done,
         report.violations.len()
     );
+    let broken = stale + report.violations.len();
+    if broken > 0 {
+        eprintln!("{broken} reads or writes broke a promise");
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
 }
 
 fn measure_idle() {
--- a/tests/decide_reads.rs
+++ b/tests/decide_reads.rs
@@ -6,7 +6,7 @@
         acknowledge::{Acknowledge, Commit, Decision, Fate, acknowledge, fate},
         age::AgeTracker,
         barrier::barrier,
-        member::{MemberStatus, MemberView, Observation, Role},
+        member::{MemberStatus, MemberView, Observation, Role, asked_after},
         route::{self, Floor, ReadRequest, Reason, route},
     },
     lsn::Lsn,
@@ -63,6 +63,8 @@
         [primary(1, 130, 10), primary(2, 100, 10), replica(2, 90, 10)], Some(at(2, 100)) },
     a_replica_is_not_in_step = {
         [silent(primary(1, 0, 0)), primary(2, 100, 10), view(Role::Replica, 2, 1, 130, 10)], None },
+    an_answer_of_the_same_millisecond_is_awaited = {
+        [primary(1, 100, 10), replica(1, 60, 10), replica(1, 50, 5)], None },
     nobody_confirms_the_primary = {
         [primary(1, 100, 10), silent(replica(1, 60, 0)), silent(replica(1, 50, 0))], None },
 )]
@@ -72,6 +74,8 @@
 
 #[parameterized(
     confirmed = { [primary(1, 100, 10), replica(1, 60, 10), replica(1, 50, 10)], Some(at(1, 100)) },
+    confirmed_in_the_same_millisecond = {
+        [primary(1, 100, 10), replica(1, 60, 5), replica(1, 50, 5)], None },
     not_confirmed_since = { [primary(1, 100, 10), replica(1, 60, 4), replica(1, 50, 4)], None },
     cut_off = { [primary(1, 130, 10), replica(2, 90, 10), replica(2, 90, 10)], None },
 )]
@@ -87,6 +91,8 @@
     a_replica_follows_another_log = { Acknowledge::Majority, replica(2, 90, 30), Decision::Unknown },
     term_confirmed_after = { Acknowledge::Term, replica(1, 0, 21), Decision::Acknowledge },
     term_confirmed_before = { Acknowledge::Term, replica(1, 50, 19), Decision::Wait },
+    term_confirmed_in_the_same_millisecond = {
+        Acknowledge::Term, replica(1, 50, 20), Decision::Wait },
     nothing_is_asked = { Acknowledge::Primary, replica(2, 0, 0), Decision::Acknowledge },
 )]
 fn acknowledgement(mode: Acknowledge, other: MemberView, expected: Decision) {
@@ -135,6 +141,9 @@
         0, 0, route::Decision::Member(1, Reason::FarReplica) },
     behind_asks_once = { [primary(1, 90, 0), replica(1, 40, 0), replica(1, 40, 0)], 900, 2_000,
         route::Decision::Refresh { asked_after_ms: 900 } },
+    behind_in_the_same_millisecond_asks_again = {
+        [primary(1, 90, 0), replica(1, 40, 900), replica(1, 40, 900)], 900, 2_000,
+        route::Decision::Refresh { asked_after_ms: 900 } },
     behind_waits = { [primary(1, 90, 0), replica(1, 40, 950), replica(1, 40, 950)], 900, 2_000,
         route::Decision::Wait { until_ms: 2_000 } },
     behind_for_too_long = { [primary(1, 90, 0), replica(1, 40, 950), replica(1, 40, 950)], 900, 990,
@@ -206,3 +215,12 @@
     let decided = route(&request, &members, &ages, NOW_MS);
     assert_eq!(decided, route::Decision::Member(0, Reason::ReplicasBehind));
 }
+
+#[parameterized(
+    later = { 6, true },
+    in_the_same_millisecond = { 5, false },
+    earlier = { 4, false },
+)]
+fn order_of_a_question_and_an_event(asked_ms: u64, expected: bool) {
+    assert_eq!(asked_after(asked_ms, 5), expected);
+}
