--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -10,20 +10,40 @@
 };
 use crate::prelude::*;
 
+/// How fresh a member's log must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Freshness {
+    /// The log must hold what was acknowledged before this time, in milliseconds.
+    pub since_ms: u64,
+    /// Position that the session has reached.
+    pub floor: Option<Position>,
+    /// Oldest data allowed, in milliseconds.
+    pub max_staleness_ms: u64,
+}
+
 /// What a connection is needed for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Want {
-    /// For what only the primary can do.
-    Primary,
+    /// For what only the primary can do. Whoever reads there without a proof
+    /// that it leads says how fresh its log must be.
+    Primary(Option<Freshness>),
     /// To read.
-    Read {
-        /// The log must hold what was acknowledged before this time, in milliseconds.
-        since_ms: u64,
-        /// Position that the session has reached.
-        floor: Option<Position>,
-        /// Oldest data allowed, in milliseconds.
-        max_staleness_ms: u64,
-    },
+    Read(Freshness),
+}
+
+impl Want {
+    /// How fresh the member's log must be.
+    pub fn freshness(&self) -> Option<Freshness> {
+        match self {
+            Want::Primary(freshness) => *freshness,
+            Want::Read(freshness) => Some(*freshness),
+        }
+    }
+
+    /// Whether only the primary will do.
+    pub fn is_primary(&self) -> bool {
+        matches!(self, Want::Primary(_))
+    }
 }
 
 /// A request for a connection.
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -13,7 +13,7 @@
     ErrorClass, MemberEntry, RelayOptions, ServiceEntry,
     link::Values,
     member::Member,
-    message::{Acquire, Granted, Refused, ServiceMessage, Want},
+    message::{Acquire, Freshness, Granted, Refused, ServiceMessage, Want},
     open::{Target, open},
 };
 use crate::{
@@ -167,7 +167,7 @@
                 reply,
             }),
             ServiceMessage::Observed { since_ms, position } => {
-                self.ages.observe(since_ms, position);
+                self.observe(since_ms, position, "statement");
             }
             ServiceMessage::Suspect { member, is_commit } => self.suspect(&member, is_commit),
             ServiceMessage::Committed => self.stuck_since_ms = None,
@@ -263,6 +263,16 @@
         }
     }
 
+    /// Takes note that all that was acknowledged before `since_ms` lies at or
+    /// before `position`.
+    fn observe(&mut self, since_ms: u64, position: Position, source: &'static str) {
+        decision!(
+            "floor", service = &*self.context.service, since_ms = since_ms,
+            position = position.to_string(), source = source; "floor raised"
+        );
+        self.ages.observe(since_ms, position);
+    }
+
     /// Member that leads in the highest term, by reports; before the first
     /// report of a leader, by the platform's list.
     fn find_primary(&self) -> Option<Name> {
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -25,13 +25,19 @@
 
 impl Service {
     pub(super) fn acquire(&mut self, acquire: Acquire) {
+        if let Some(freshness) = acquire.want.freshness() {
+            let newest_ms = self.ages.newest_ms().unwrap_or(0);
+            if newest_ms + freshness.max_staleness_ms / 2 < clock::boot_ms() {
+                self.refresh_floor();
+            }
+            if self.ages.floor(freshness.since_ms).is_none() {
+                self.waiting_floor.push(acquire);
+                return;
+            }
+        }
         match acquire.want {
-            Want::Primary => self.acquire_primary(acquire),
-            Want::Read {
-                since_ms,
-                floor,
-                max_staleness_ms,
-            } => self.acquire_reader(acquire, since_ms, floor, max_staleness_ms),
+            Want::Primary(_) => self.acquire_primary(acquire),
+            Want::Read(freshness) => self.acquire_reader(acquire, &freshness),
         }
     }
 
@@ -44,28 +50,14 @@
         }
     }
 
-    fn acquire_reader(
-        &mut self,
-        acquire: Acquire,
-        since_ms: u64,
-        floor: Option<Position>,
-        max_staleness_ms: u64,
-    ) {
-        let newest_ms = self.ages.newest_ms().unwrap_or(0);
-        if newest_ms + max_staleness_ms / 2 < clock::boot_ms() {
-            self.refresh_floor();
-        }
-        if self.ages.floor(since_ms).is_none() {
-            self.waiting_floor.push(acquire);
-            return;
-        }
-        match self.choose_reader(&acquire, floor.is_some()) {
+    fn acquire_reader(&mut self, acquire: Acquire, freshness: &Freshness) {
+        match self.choose_reader(&acquire, freshness) {
             Some(member) => self.serve_on(&member, acquire),
             None => self.waiting_floor.push(acquire),
         }
     }
 
-    fn choose_reader(&self, acquire: &Acquire, has_floor: bool) -> Option<Name> {
+    fn choose_reader(&self, acquire: &Acquire, freshness: &Freshness) -> Option<Name> {
         let now_ms = clock::boot_ms();
         let now_us = clock::boot_us();
         let usable = self.members.iter().filter(|(id, m)| {
@@ -88,8 +80,9 @@
             service = &*self.context.service, member = &*chosen.member,
             is_primary = chosen.is_primary, is_behind = chosen.is_behind,
             mean_ms = chosen.mean_ms as u64, in_use = chosen.in_use,
-            waiting = chosen.waiting, has_floor = has_floor,
-            floor_age_ms = now_ms.saturating_sub(self.ages.newest_ms().unwrap_or(0));
+            waiting = chosen.waiting, has_written = freshness.floor.is_some(),
+            floor = self.ages.floor(freshness.since_ms).unwrap_or_default().to_string(),
+            since_ms = freshness.since_ms, floor_age_ms = now_ms.saturating_sub(self.ages.newest_ms().unwrap_or(0));
             "read routed"
         );
         Some(chosen.member.clone())
@@ -153,12 +146,8 @@
 
     fn grant(&mut self, id: &Name, link: Link, acquire: Acquire) {
         let led_term = self.members.get(id).and_then(Member::led_term);
-        let after = match &acquire.want {
-            Want::Primary => None,
-            Want::Read {
-                since_ms, floor, ..
-            } => self.ages.floor(*since_ms).max(*floor),
-        };
+        let freshness = acquire.want.freshness();
+        let after = freshness.and_then(|f| self.ages.floor(f.since_ms).max(f.floor));
         let granted = Granted {
             link,
             after,
@@ -238,7 +227,7 @@
             return;
         };
         for mut acquire in member.queue.drain() {
-            if acquire.want != Want::Primary {
+            if !acquire.want.is_primary() {
                 acquire.avoid.insert(id.clone());
             }
             self.acquire(acquire);
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -212,7 +212,7 @@
             return;
         };
         if let Some(position) = self.proved_position(&primary, since_us) {
-            self.ages.observe(since_us / 1_000, position);
+            self.observe(since_us / 1_000, position, "reports");
             self.refresh_since_us = None;
             return;
         }
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -10,7 +10,7 @@
     relay::{
         Access, Consistency, MemberCodec, MemberRequest, StatusReport, exchange,
         link::Link,
-        message::{Acquire, Granted, Refused, ServiceMessage, Want},
+        message::{Acquire, Freshness, Granted, Refused, ServiceMessage, Want},
     },
 };
 
@@ -123,19 +123,20 @@
         }
     }
 
-    /// What a read on a route asks for, if it may go to a replica.
-    pub(super) fn want_read(&self, route: &Route, arrived_us: u64) -> Want {
+    /// How fresh a log must be for reads on a route; `None` where only a
+    /// primary that is proved to lead will do.
+    pub(super) fn freshness(&self, route: &Route, arrived_us: u64) -> Option<Freshness> {
         let (max_staleness_ms, floor) = match route.consistency {
-            Consistency::Primary => return Want::Primary,
+            Consistency::Primary => return None,
             Consistency::Bounded { max_staleness_ms } => (max_staleness_ms, None),
             Consistency::ReadYourWrites { max_staleness_ms } => (max_staleness_ms, self.floor),
         };
         let since_ms = (arrived_us / 1_000).saturating_sub(max_staleness_ms);
-        Want::Read {
+        Some(Freshness {
             since_ms: since_ms + ROUNDING_MS,
             floor,
             max_staleness_ms,
-        }
+        })
     }
 
     /// Asks the service for a connection.
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -77,9 +77,9 @@
             let Some(route) = self.shared.route(&self.database) else {
                 return no_route();
             };
-            let want = match writes {
-                true => Want::Primary,
-                false => self.want_read(&route, arrived_us),
+            let want = match self.freshness(&route, arrived_us) {
+                Some(freshness) if !writes => Want::Read(freshness),
+                _ => Want::Primary(None),
             };
             let granted = self
                 .acquire(&route, statement, want, avoid.clone(), arrived_us)
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -97,13 +97,13 @@
         arrived_us: u64,
     ) -> Begun {
         let route = &transaction.route;
-        let want = match transaction.is_read_only {
-            true => self.want_read(route, transaction.began_us),
-            false => Want::Primary,
+        let want = match self.freshness(route, transaction.began_us) {
+            Some(freshness) if transaction.is_read_only => Want::Read(freshness),
+            freshness => Want::Primary(freshness),
         };
         // A read at the primary begins as if it wrote: the member then refuses
         // once it does not lead any longer.
-        let is_read_only = want != Want::Primary;
+        let is_read_only = !want.is_primary();
         let granted = self
             .acquire(route, statement, want, avoid.clone(), arrived_us)
             .await;
