--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -10,7 +10,10 @@
 const BEHIND_COST_MS: f64 = 400.0;
 /// Share of a member's connections that all VMs may take together while it
 /// reports how many are open; the rest is for VMs that start.
-const ELASTIC_SHARE: f64 = 0.7;
+const ELASTIC_SHARE: f64 = 0.65;
+/// Time after which an idle connection beyond the fair share is closed, in
+/// milliseconds: a few times the pause within a transaction.
+const IDLE_MS: u64 = 1_500;
 /// Share of a member's connections that is dealt out evenly.
 const FAIR_SHARE: f64 = 0.8;
 
@@ -60,20 +63,53 @@
         .min_by(|a, b| a.cost_ms().total_cmp(&b.cost_ms()))
 }
 
-/// Connections that a VM may hold to a member.
-///
-/// Each of `vms` VMs has a fair share of `connections_max`; it may take more
-/// while the member reported, with `reported` open ones, that there is room.
-pub fn connection_limit(
-    connections_max: usize,
-    vms: usize,
-    reported: Option<usize>,
-    own: usize,
-) -> usize {
-    let fair = (connections_max as f64 * FAIR_SHARE) as usize / vms.max(1);
-    let room = (connections_max as f64 * ELASTIC_SHARE) as usize;
-    match reported {
-        Some(reported) if reported < room => fair.max(own + 1).max(1),
-        _ => fair.max(1),
+/// What a VM knows of the connections to a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionBudget {
+    /// Most connections to the member, from all VMs together.
+    pub connections_max: usize,
+    /// Equal shares that they are dealt out in, one for this VM.
+    pub shares: usize,
+    /// Open ones from all VMs, as the member reported a moment ago.
+    pub reported: Option<usize>,
+}
+
+impl ConnectionBudget {
+    /// Connections that this VM may hold whatever the others do.
+    pub fn fair(&self) -> usize {
+        let dealt = (self.connections_max as f64 * FAIR_SHARE) as usize;
+        (dealt / self.shares.max(1)).max(1)
+    }
+
+    /// Whether the member reported that there is room for more.
+    pub fn has_room(&self) -> bool {
+        let room = (self.connections_max as f64 * ELASTIC_SHARE) as usize;
+        self.reported.is_some_and(|reported| reported < room)
+    }
+
+    /// Connections that this VM may hold while it holds `own`.
+    ///
+    /// Answers the load of a zone with few VMs, or of a VM that got more than
+    /// its part of the callers: it takes more while there is room, and gives
+    /// them back when they are idle.
+    pub fn limit(&self, own: usize) -> usize {
+        match self.has_room() {
+            true => self.fair().max(own + 1),
+            false => self.fair(),
+        }
+    }
+
+    /// Whether a connection that was idle for `idle_ms` is to be closed while
+    /// this VM holds `own`.
+    pub fn is_surplus(&self, own: usize, idle_ms: u64) -> bool {
+        own > self.fair() && (idle_ms >= IDLE_MS || !self.has_room())
     }
 }
+
+/// Equal shares that the connections to a member are dealt out in, as seen
+/// from a zone: callers come to the VMs of their own zone, so the zones share
+/// first, then the VMs of each.
+pub fn shares(vms_by_zone: &BTreeMap<Name, usize>, zone: &Name) -> usize {
+    let own = vms_by_zone.get(zone).copied().unwrap_or(0).max(1);
+    vms_by_zone.len().max(1) * own
+}
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -9,14 +9,16 @@
 use tokio::sync::watch;
 
 use super::{Catalog, RelayOptions, Roster, Route, message::ServiceMessage, service, session};
-use crate::{clock, decision_log::decision, metrics::Metrics, prelude::*};
+use crate::{
+    clock, decide::dispatch::shares, decision_log::decision, metrics::Metrics, prelude::*,
+};
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two looks at the sessions while the VM stops.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Part of the grace that is left for the end of the process, in milliseconds.
-const STOP_RESERVE_MS: u64 = 400;
+const STOP_RESERVE_MS: u64 = 800;
 
 /// What the tasks of a relay share.
 pub struct Shared {
@@ -60,7 +62,7 @@
     shared: Rc<Shared>,
     stop: watch::Sender<Option<u64>>,
     ready: watch::Sender<bool>,
-    vms: Cell<usize>,
+    vms_by_zone: RefCell<BTreeMap<Name, usize>>,
 }
 
 impl Relay {
@@ -80,7 +82,7 @@
             shared: Rc::new(shared),
             stop,
             ready: watch::channel(false).0,
-            vms: Cell::new(1),
+            vms_by_zone: RefCell::new(BTreeMap::new()),
         }
     }
 
@@ -147,12 +149,14 @@
         self.tell_all();
     }
 
-    /// Takes the number of VMs that share the members.
-    pub fn count_vms(&self, vms: usize) {
-        if self.vms.replace(vms) != vms {
-            decision!("placement", vms = vms; "VMs that share the connections");
-            self.tell_all();
+    /// Takes the number of VMs at work in each zone.
+    pub fn count_vms(&self, vms_by_zone: BTreeMap<Name, usize>) {
+        if *self.vms_by_zone.borrow() == vms_by_zone {
+            return;
         }
+        decision!("placement", vms = format!("{vms_by_zone:?}"); "VMs at work");
+        *self.vms_by_zone.borrow_mut() = vms_by_zone;
+        self.tell_all();
     }
 
     fn tell_all(&self) {
@@ -171,7 +175,7 @@
             // The task ends only with the process.
             let _ = mailbox.send(ServiceMessage::Members {
                 members,
-                vms: self.vms.get(),
+                shares: shares(&self.vms_by_zone.borrow(), &self.shared.options.zone),
             });
         }
     }
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -21,6 +21,8 @@
     pub values: Values,
     /// Names of the statements that are prepared on it.
     pub prepared: BTreeSet<Name>,
+    /// Time since which nobody uses it, in milliseconds.
+    pub idle_since_ms: u64,
     /// Gives its place back when it is dropped.
     pub _permit: Permit,
 }
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -5,7 +5,10 @@
     link::{Link, Values},
     message::Acquire,
 };
-use crate::decide::{admission::AdmissionQueue, dispatch::connection_limit, member::Role};
+use crate::{
+    clock,
+    decide::{admission::AdmissionQueue, dispatch::ConnectionBudget, member::Role},
+};
 
 /// Requests that may wait for one member.
 const QUEUE_MAX: usize = 256;
@@ -100,11 +103,29 @@
         (report.role == Role::Primary).then_some(report.term)
     }
 
-    /// Connections that this VM may hold to it.
-    pub fn limit(&self, connections_max: usize, vms: usize, now_us: u64) -> usize {
+    /// What is known of the connections to it.
+    pub fn budget(&self, connections_max: usize, shares: usize) -> ConnectionBudget {
+        let now_us = clock::boot_us();
         let recent = self.report.filter(|(at, _)| now_us < at + COUNT_AGE_US);
-        let reported = recent.map(|(_, report)| report.connections);
-        connection_limit(connections_max, vms, reported, self.open)
+        ConnectionBudget {
+            connections_max,
+            shares,
+            reported: recent.map(|(_, report)| report.connections),
+        }
+    }
+
+    /// Closes connections beyond the fair share that nobody needs.
+    pub fn trim(&mut self, budget: &ConnectionBudget, now_ms: u64) {
+        if !self.queue.is_empty() {
+            return;
+        }
+        // The oldest stands first. One at a time: each end is counted when it
+        // is told.
+        let idle_since_ms = self.idle.first().map(|link| link.idle_since_ms);
+        let idle_ms = idle_since_ms.map(|since_ms| now_ms.saturating_sub(since_ms));
+        if idle_ms.is_some_and(|idle_ms| budget.is_surplus(self.open, idle_ms)) {
+            self.idle.remove(0);
+        }
     }
 
     /// Takes an idle connection, preferably one that needs no reset.
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -158,8 +158,8 @@
     Members {
         /// Members by id.
         members: BTreeMap<Name, MemberEntry>,
-        /// VMs that share the members.
-        vms: usize,
+        /// Equal shares that the connections to each are dealt out in.
+        shares: usize,
     },
     /// The configuration of the service.
     Entry(ServiceEntry),
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -60,7 +60,7 @@
 struct Service {
     context: ServiceContext,
     entry: ServiceEntry,
-    vms: usize,
+    shares: usize,
     members: BTreeMap<Name, Member>,
     primary: Option<Name>,
     missing_since_ms: u64,
@@ -110,7 +110,7 @@
     let mut service = Service {
         context,
         entry,
-        vms: 1,
+        shares: 1,
         members: BTreeMap::new(),
         primary: None,
         missing_since_ms: clock::boot_ms(),
@@ -173,7 +173,7 @@
             ServiceMessage::Committed => self.stuck_since_ms = None,
             ServiceMessage::NotPrimary { member } => self.not_primary(&member),
             ServiceMessage::Behind { member } => self.behind(&member),
-            ServiceMessage::Members { members, vms } => self.change_members(members, vms),
+            ServiceMessage::Members { members, shares } => self.change_members(members, shares),
             ServiceMessage::Entry(entry) => self.entry = entry,
             ServiceMessage::TakeoverEnded { promoted } => self.takeover_ended(promoted),
         }
@@ -191,6 +191,7 @@
             self.serve_queue(member);
         }
         self.expire(now_ms);
+        self.trim(now_ms);
         self.start_probes(now_ms);
         self.watch_primary(now_ms);
     }
@@ -210,9 +211,9 @@
         Duration::from_millis(wait_ms)
     }
 
-    fn change_members(&mut self, members: BTreeMap<Name, MemberEntry>, vms: usize) {
+    fn change_members(&mut self, members: BTreeMap<Name, MemberEntry>, shares: usize) {
         let now_ms = clock::boot_ms();
-        self.vms = vms.max(1);
+        self.shares = shares.max(1);
         for (id, member) in &mut self.members {
             if !members.contains_key(id) {
                 member.unlisted_since_ms.get_or_insert(now_ms);
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -6,7 +6,7 @@
         admission::Admission,
         dispatch::{ReadCandidate, choose_reader},
     },
-    relay::{MemberRequest, Result, exchange::request, link::Link},
+    relay::{MemberRequest, RelayError, Result, exchange::request, link::Link},
 };
 
 /// Pause after a connection could not be opened, in milliseconds.
@@ -59,7 +59,6 @@
 
     fn choose_reader(&self, acquire: &Acquire, freshness: &Freshness) -> Option<Name> {
         let now_ms = clock::boot_ms();
-        let now_us = clock::boot_us();
         let usable = self.members.iter().filter(|(id, m)| {
             m.is_usable(now_ms) && m.open_after_ms <= now_ms && !acquire.avoid.contains(*id)
         });
@@ -69,7 +68,7 @@
                 is_primary: self.primary.as_ref() == Some(id),
                 is_behind: m.behind_until_ms > now_ms,
                 mean_ms: m.mean_ms,
-                connections: m.limit(self.entry.connections_max, self.vms, now_us),
+                connections: self.limit(m),
                 in_use: m.open - m.idle.len().min(m.open),
                 waiting: m.queue.len(),
             })
@@ -91,8 +90,7 @@
     /// Grants a connection to a member, now or once one is free.
     fn serve_on(&mut self, id: &Name, acquire: Acquire) {
         let now_ms = clock::boot_ms();
-        let connections_max = self.entry.connections_max;
-        let vms = self.vms;
+        let limit = self.members.get(id).map_or(0, |m| self.limit(m));
         let Some(member) = self.members.get_mut(id) else {
             return refuse(
                 acquire,
@@ -106,7 +104,6 @@
         {
             return self.grant(id, link, acquire);
         }
-        let limit = member.limit(connections_max, vms, clock::boot_us());
         let left_ms = acquire.deadline_ms.saturating_sub(now_ms);
         if let Admission::Refuse { retry_after_ms } = member.queue.admit(left_ms, limit) {
             return refuse(
@@ -159,8 +156,23 @@
         }
     }
 
+    fn limit(&self, member: &Member) -> usize {
+        let budget = member.budget(self.entry.connections_max, self.shares);
+        budget.limit(member.open)
+    }
+
+    /// Closes connections that others may need more.
+    pub(super) fn trim(&mut self, now_ms: u64) {
+        let connections_max = self.entry.connections_max;
+        for member in self.members.values_mut() {
+            let budget = member.budget(connections_max, self.shares);
+            member.trim(&budget, now_ms);
+        }
+    }
+
     pub(super) fn serve_queue(&mut self, id: &Name) {
         loop {
+            let limit = self.members.get(id).map_or(0, |m| self.limit(m));
             let Some(member) = self.members.get_mut(id) else {
                 return;
             };
@@ -168,7 +180,6 @@
                 return;
             }
             let Some(link) = member.take_idle(&Values::new()) else {
-                let limit = member.limit(self.entry.connections_max, self.vms, clock::boot_us());
                 return self.open_if_needed(id, limit);
             };
             let Some(acquire) = member.queue.pop() else {
@@ -178,7 +189,7 @@
         }
     }
 
-    pub(super) fn release(&mut self, link: Link, needs_rollback: bool, read_us: Option<u64>) {
+    pub(super) fn release(&mut self, mut link: Link, needs_rollback: bool, read_us: Option<u64>) {
         let id = link.member.clone();
         let Some(member) = self.members.get_mut(&id) else {
             return;
@@ -195,6 +206,7 @@
         if member.entry.is_leaving && self.primary.as_ref() != Some(&id) {
             return;
         }
+        link.idle_since_ms = clock::boot_ms();
         member.idle.push(link);
         self.serve_queue(&id);
     }
@@ -206,7 +218,8 @@
         };
         member.opening = member.opening.saturating_sub(1);
         match result {
-            Ok(link) => {
+            Ok(mut link) => {
+                link.idle_since_ms = now_ms;
                 member.idle.push(link);
                 self.serve_queue(id);
             }
@@ -216,7 +229,10 @@
                     reason = error.to_string(); "connection not opened"
                 );
                 member.open_after_ms = now_ms + OPEN_PAUSE_MS;
-                self.suspect(id, false);
+                // A member that is full need not be asked how it is.
+                if !matches!(error, RelayError::Refused { .. }) {
+                    self.suspect(id, false);
+                }
             }
         }
     }
