Watch signals without a gap

The runtime's listener hears one signal and restores the default action. Ruled out: the end of the grace (0.8 s after SIGTERM), the close of idle sessions (2.2 s after).

--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -25,6 +25,7 @@
         trunk::TrunkHandle,
     },
     settings::VmSettings,
+    signals::{self, SignalWatch},
     store::StoreClient,
 };
 
@@ -166,7 +167,11 @@
         target: "daemon", callers = settings.callers.to_string().as_str(),
         zone = &*settings.zone; "started"
     );
-    wait_for_stop(&mailbox, draining_seen).await;
+    // The watches stay while the VM stops, so that a second signal does not
+    // end it early.
+    let mut terminate = SignalWatch::new(signals::TERMINATE);
+    let mut interrupt = SignalWatch::new(signals::INTERRUPT);
+    wait_for_stop(&mut terminate, &mut interrupt, &mailbox, draining_seen).await;
     drain(&settings, &count).await;
     Ok(())
 }
@@ -212,9 +217,14 @@
 }
 
 /// Waits for a signal or an operator's order.
-async fn wait_for_stop(node: &flume::Sender<NodeMessage>, mut draining: watch::Receiver<bool>) {
-    let terminate = std::pin::pin!(compio::signal::unix::signal(libc_signals::TERMINATE));
-    let interrupt = std::pin::pin!(compio::signal::unix::signal(libc_signals::INTERRUPT));
+async fn wait_for_stop(
+    terminate: &mut SignalWatch,
+    interrupt: &mut SignalWatch,
+    node: &flume::Sender<NodeMessage>,
+    mut draining: watch::Receiver<bool>,
+) {
+    let terminate = std::pin::pin!(terminate.next());
+    let interrupt = std::pin::pin!(interrupt.next());
     let signals = std::pin::pin!(select(terminate, interrupt));
     let ordered = std::pin::pin!(draining.wait_for(|is_draining| *is_draining));
     if let Either::Left(_) = select(signals, ordered).await {
@@ -231,11 +241,3 @@
     }
     log::info!(target: "daemon", callers = callers.get(); "stopped");
 }
-
-/// Numbers of signals, the same on every Unix.
-mod libc_signals {
-    /// `SIGTERM`.
-    pub const TERMINATE: i32 = 15;
-    /// `SIGINT`.
-    pub const INTERRUPT: i32 = 2;
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod proxy;
 pub mod relay;
 pub mod settings;
+pub mod signals;
 pub mod store;
 pub mod token;
