Leave lost members out of proofs; tell a lost answer from a stuck commit

Two replacements were ordered for commits whose answers were lost. Ruled out: overload (fewer reads than at the other services).

--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -127,6 +127,36 @@
     pub others_answer: bool,
 }
 
+/// A commit that waits at a primary which answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stuck {
+    /// Time since which it waits, in milliseconds.
+    pub since_ms: u64,
+    /// Position of the primary's log after that.
+    pub position: Option<Position>,
+}
+
+impl Stuck {
+    /// A commit that is late at `now_ms`.
+    pub fn new(now_ms: u64) -> Stuck {
+        Stuck {
+            since_ms: now_ms,
+            position: None,
+        }
+    }
+
+    /// Takes the position that the primary reported.
+    pub fn note_primary(&mut self, received: Position) {
+        self.position.get_or_insert(received);
+    }
+
+    /// Whether a replica that received up to `received` proves that commits go
+    /// on: then it is the answer that was lost.
+    pub fn is_over(&self, received: Position) -> bool {
+        self.position.is_some_and(|position| received >= position)
+    }
+}
+
 /// Why a primary is replaced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -97,6 +97,12 @@
         self.entry.is_leaving || since_ms.is_some_and(|at| now_ms >= at + UNLISTED_MS)
     }
 
+    /// Whether it neither answers nor is listed any longer.
+    pub fn is_lost(&self, now_ms: u64) -> bool {
+        let is_unlisted = self.unlisted_since_ms.is_some();
+        self.failures > 0 && is_unlisted && self.is_going(now_ms)
+    }
+
     /// Term that it leads, by its last report.
     pub fn led_term(&self) -> Option<u64> {
         let (_, report) = self.report?;
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -18,7 +18,11 @@
 };
 use crate::{
     clock,
-    decide::{age::AgeTracker, member::Role, takeover::Reason},
+    decide::{
+        age::AgeTracker,
+        member::Role,
+        takeover::{Reason, Stuck},
+    },
     decision_log::decision,
     prelude::*,
     proxy::link::Permit,
@@ -69,7 +73,7 @@
     proofs: Vec<PendingProof>,
     refresh_since_us: Option<u64>,
     ages: AgeTracker,
-    stuck_since_ms: Option<u64>,
+    stuck: Option<Stuck>,
     takeover: Takeover,
 }
 
@@ -119,7 +123,7 @@
         proofs: Vec::new(),
         refresh_since_us: None,
         ages: AgeTracker::default(),
-        stuck_since_ms: None,
+        stuck: None,
         takeover: Takeover::Calm,
     };
     loop {
@@ -170,7 +174,7 @@
                 self.observe(since_ms, position, "statement");
             }
             ServiceMessage::Suspect { member, is_commit } => self.suspect(&member, is_commit),
-            ServiceMessage::Committed => self.stuck_since_ms = None,
+            ServiceMessage::Committed => self.stuck = None,
             ServiceMessage::NotPrimary { member } => self.not_primary(&member),
             ServiceMessage::Behind { member } => self.behind(&member),
             ServiceMessage::Members { members, shares } => self.change_members(members, shares),
@@ -307,7 +311,7 @@
         if found.is_none() {
             self.missing_since_ms = clock::boot_ms();
         }
-        self.stuck_since_ms = None;
+        self.stuck = None;
         self.primary = found;
     }
 
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -109,6 +109,7 @@
                     false => None,
                 };
                 member.report = Some((asked_us, report));
+                self.note_stuck(id, &report);
                 self.release(link, false, None);
             }
             // It answers, but has too much to do.
@@ -154,7 +155,9 @@
     }
 
     fn needed(&self) -> usize {
-        testimonies_needed(self.members.len(), self.entry.sync_replicas)
+        let now_ms = clock::boot_ms();
+        let counted = self.members.values().filter(|m| !m.is_lost(now_ms));
+        testimonies_needed(counted.count(), self.entry.sync_replicas)
     }
 
     fn standing(&self, primary: &Name, since_us: u64) -> Standing {
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -5,7 +5,10 @@
 use super::*;
 use crate::{
     decide::takeover::{PrimaryHealth, TakeoverSettings, doubt},
-    relay::takeover::{self, Rival, TakeoverPlan},
+    relay::{
+        StatusReport,
+        takeover::{self, Rival, TakeoverPlan},
+    },
 };
 
 /// Limits of the decision to replace a primary. Silence: two questions of the
@@ -36,7 +39,7 @@
     /// A statement on a member broke off or is late: ask it.
     pub(super) fn suspect(&mut self, id: &Name, is_commit: bool) {
         if is_commit && self.primary.as_ref() == Some(id) {
-            self.stuck_since_ms.get_or_insert(clock::boot_ms());
+            self.stuck.get_or_insert(Stuck::new(clock::boot_ms()));
         }
         self.want_probe(id, clock::boot_us());
     }
@@ -54,6 +57,16 @@
         }
     }
 
+    /// Compares the reports with the commit that waits.
+    pub(super) fn note_stuck(&mut self, id: &Name, report: &StatusReport) {
+        let Some(stuck) = &mut self.stuck else { return };
+        if self.primary.as_ref() == Some(id) {
+            stuck.note_primary(report.received);
+        } else if stuck.is_over(report.received) {
+            self.stuck = None;
+        }
+    }
+
     fn health(&self, now_ms: u64) -> PrimaryHealth {
         let now_us = clock::boot_us();
         let is_recent = |m: &Member| {
@@ -174,7 +187,7 @@
         self.takeover = Takeover::Pausing {
             until_ms: now_ms + PAUSE_MS,
         };
-        self.stuck_since_ms = None;
+        self.stuck = None;
         let now_us = clock::boot_us();
         let members: Vec<Name> = match promoted {
             Some(id) => vec![id],
