--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -77,8 +77,8 @@
         let mut health = PrimaryHealth {
             held_ms: held.map_or(0, |at| now_us.saturating_sub(at) / 1_000),
             stuck_ms: self
-                .stuck_since_ms
-                .map_or(0, |at| now_ms.saturating_sub(at)),
+                .stuck
+                .map_or(0, |stuck| now_ms.saturating_sub(stuck.since_ms)),
             missing_ms: now_ms.saturating_sub(self.missing_since_ms),
             ..PrimaryHealth::default()
         };
