--- a/src/decide/age.rs
+++ b/src/decide/age.rs
@@ -9,6 +9,23 @@
 /// Shortest time between two kept observations, in milliseconds.
 const SPACING_MS: u64 = 5;
 
+/// Part of the staleness allowed after which a floor is renewed: the rest is
+/// for asking.
+const RENEW_SHARE: f64 = 0.8;
+/// The same while replicas are behind: the older the floor, the more of them
+/// can serve.
+const RENEW_SHARE_BEHIND: f64 = 0.4;
+
+/// Whether a floor of this age is to be renewed, for reads that allow data of
+/// `max_staleness_ms`.
+pub fn is_floor_due(age_ms: u64, max_staleness_ms: u64, is_behind: bool) -> bool {
+    let share = match is_behind {
+        true => RENEW_SHARE_BEHIND,
+        false => RENEW_SHARE,
+    };
+    age_ms as f64 >= max_staleness_ms as f64 * share
+}
+
 /// Remembers when the primary was seen at which position.
 #[derive(Clone, Debug, Default)]
 pub struct AgeTracker {
--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -11,7 +11,7 @@
 /// Share of a member's connections that all VMs may take together while it
 /// reports how many are open; the rest is for VMs that start.
 const ELASTIC_SHARE: f64 = 0.65;
-/// Time after which an idle connection beyond the fair share is closed, in
+/// Time after which an idle connection is closed, but for one, in
 /// milliseconds: a few times the pause within a transaction.
 const IDLE_MS: u64 = 1_500;
 /// Share of a member's connections that is dealt out evenly.
@@ -101,8 +101,13 @@
 
     /// Whether a connection that was idle for `idle_ms` is to be closed while
     /// this VM holds `own`.
+    ///
+    /// Answers a start of many VMs at once after a loss of power: the member
+    /// keeps the places of their old connections for a while, so there must be
+    /// room for the new ones.
     pub fn is_surplus(&self, own: usize, idle_ms: u64) -> bool {
-        own > self.fair() && (idle_ms >= IDLE_MS || !self.has_room())
+        let is_idle = own > 1 && idle_ms >= IDLE_MS;
+        is_idle || (own > self.fair() && !self.has_room())
     }
 }
 
--- a/src/decide/standing.rs
+++ b/src/decide/standing.rs
@@ -8,7 +8,8 @@
 pub struct Testimony {
     /// Time the question was sent, in microseconds.
     pub asked_us: u64,
-    /// Term that the member stands by.
+    /// Term that the member stands by, or is held for by a replacement of the
+    /// primary that is under way.
     pub term: u64,
 }
 
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -4,6 +4,7 @@
 use crate::{
     decide::{
         admission::Admission,
+        age::is_floor_due,
         dispatch::{ReadCandidate, choose_reader},
     },
     relay::{MemberRequest, RelayError, Result, exchange::request, link::Link},
@@ -15,6 +16,9 @@
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a member that lacked a position counts as behind, in milliseconds.
 const BEHIND_MS: u64 = 250;
+/// Time for which floors are refreshed more often after a member was behind,
+/// in milliseconds.
+const BEHIND_MEMORY_MS: u64 = 3_000;
 /// When to come back while there is no primary, in milliseconds: a replacement
 /// takes about this long.
 const NO_PRIMARY_RETRY_MS: u64 = 1_000;
@@ -27,7 +31,8 @@
     pub(super) fn acquire(&mut self, acquire: Acquire) {
         if let Some(freshness) = acquire.want.freshness() {
             let newest_ms = self.ages.newest_ms().unwrap_or(0);
-            if newest_ms + freshness.max_staleness_ms / 2 < clock::boot_ms() {
+            let age_ms = clock::boot_ms().saturating_sub(newest_ms);
+            if is_floor_due(age_ms, freshness.max_staleness_ms, self.has_member_behind()) {
                 self.refresh_floor();
             }
             if self.ages.floor(freshness.since_ms).is_none() {
@@ -41,6 +46,12 @@
         }
     }
 
+    fn has_member_behind(&self) -> bool {
+        let now_ms = clock::boot_ms();
+        let mut members = self.members.values();
+        members.any(|m| now_ms < m.behind_until_ms + BEHIND_MEMORY_MS)
+    }
+
     fn acquire_primary(&mut self, acquire: Acquire) {
         let primary = self.primary.clone();
         let usable = primary.filter(|p| self.members.get(p).is_some_and(|m| m.failures == 0));
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -165,7 +165,7 @@
         let reports = others.filter_map(|(_, m)| m.report);
         let testimonies = reports.map(|(asked_us, report)| Testimony {
             asked_us,
-            term: report.term,
+            term: report.term.max(report.held_term),
         });
         standing(testimonies, since_us, self.needed())
     }
