Let a member supersede the one at its address; take floors from replicas

The old ids were waited for, so no successor was chosen for 7 s, and reads at replicas stopped for want of a primary to ask.

--- a/src/decide/standing.rs
+++ b/src/decide/standing.rs
@@ -56,6 +56,29 @@
     }
 }
 
+/// Position that covers all that was acknowledged before `since_us`, from the
+/// members other than the primary: `others` gives the time each was asked and
+/// what it has received; `None` for one that was not heard.
+///
+/// A commit is acknowledged once one of them has received it, so the most
+/// advanced has received all of them. It needs no primary: replicas go on
+/// serving reads while it is being replaced.
+pub fn received_by_others(
+    others: impl Iterator<Item = Option<(u64, Position)>>,
+    since_us: u64,
+    sync_replicas: u32,
+) -> Option<Position> {
+    if sync_replicas == 0 {
+        return None;
+    }
+    let mut highest = None;
+    for other in others {
+        let (_, received) = other.filter(|(asked_us, _)| *asked_us > since_us)?;
+        highest = highest.max(Some(received));
+    }
+    highest
+}
+
 /// Members to ask, nearest first, when `needed` testimonies are to come:
 /// `others` gives distance and failures of each.
 pub fn witnesses(others: &BTreeMap<Name, (u32, u32)>, needed: usize) -> Vec<Name> {
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -24,6 +24,11 @@
 /// an outage of the platform's store entries are back within two seconds.
 const UNLISTED_MS: u64 = 2_500;
 
+/// Time after which a member that is missing from the list counts as gone for
+/// good, in milliseconds: longer than a member that fell silent may take to
+/// come back with its log.
+const GONE_MS: u64 = 12_000;
+
 /// A member.
 pub struct Member {
     /// Last entry in the platform's list.
@@ -97,6 +102,12 @@
         self.entry.is_leaving || since_ms.is_some_and(|at| now_ms >= at + UNLISTED_MS)
     }
 
+    /// Whether it is gone for good, as far as can be told.
+    pub fn is_gone(&self, now_ms: u64) -> bool {
+        let since_ms = self.unlisted_since_ms;
+        self.failures > 0 && since_ms.is_some_and(|at| now_ms >= at + GONE_MS)
+    }
+
     /// Whether it neither answers nor is listed any longer.
     pub fn is_lost(&self, now_ms: u64) -> bool {
         let is_unlisted = self.unlisted_since_ms.is_some();
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -5,7 +5,7 @@
 mod probe;
 mod watch;
 
-use std::rc::Rc;
+use std::{net::SocketAddr, rc::Rc};
 
 use futures::channel::oneshot;
 
@@ -186,6 +186,7 @@
     /// Serves what can be served, asks what must be known, opens what lacks.
     fn pump(&mut self) {
         let now_ms = clock::boot_ms();
+        self.drop_superseded();
         self.note_primary();
         self.settle_proofs();
         self.settle_floor();
@@ -268,6 +269,36 @@
         }
     }
 
+    /// Forgets members whose place has been taken: a member that crashed comes
+    /// back at its address with its log, under another id.
+    fn drop_superseded(&mut self) {
+        let heirs: BTreeMap<SocketAddr, Name> = self
+            .members
+            .iter()
+            .filter(|(_, m)| m.failures == 0 && m.report.is_some())
+            .map(|(id, m)| (m.entry.address, id.clone()))
+            .collect();
+        let is_superseded = |m: &Member| {
+            let is_absent = m.failures > 0 || m.unlisted_since_ms.is_some();
+            is_absent && heirs.contains_key(&m.entry.address)
+        };
+        let superseded = self.members.iter().filter(|(_, m)| is_superseded(m));
+        let superseded: Vec<Name> = superseded
+            .filter(|(id, m)| heirs.get(&m.entry.address) != Some(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in superseded {
+            let address = self.members.get(&id).map(|m| m.entry.address);
+            let heir = address.and_then(|address| heirs.get(&address));
+            decision!(
+                "member", service = &*self.context.service, member = &*id,
+                heir = heir.map_or("", |heir| &**heir); "member superseded"
+            );
+            self.reroute(&id);
+            self.members.remove(&id);
+        }
+    }
+
     /// Takes note that all that was acknowledged before `since_ms` lies at or
     /// before `position`.
     fn observe(&mut self, since_ms: u64, position: Position, source: &'static str) {
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -2,7 +2,9 @@
 
 use super::*;
 use crate::{
-    decide::standing::{Standing, Testimony, standing, testimonies_needed, witnesses},
+    decide::standing::{
+        Standing, Testimony, received_by_others, standing, testimonies_needed, witnesses,
+    },
     relay::{MemberCodec, MemberRequest, RelayError, Result, StatusReport, exchange, link::Link},
 };
 
@@ -205,27 +207,57 @@
         }
     }
 
-    /// Takes a new floor once the primary is proved to lead.
+    /// Takes a new floor once the primary is proved to lead, or once all the
+    /// others have told what they received.
     pub(super) fn settle_floor(&mut self) {
         let Some(since_us) = self.refresh_since_us else {
             return;
         };
-        let Some(primary) = self.primary.clone() else {
+        let primary = self.primary.clone();
+        let proved = primary
+            .as_ref()
+            .and_then(|primary| self.proved_position(primary, since_us));
+        if let Some(position) = proved {
+            self.observe(since_us / 1_000, position, "primary");
             self.refresh_since_us = None;
             return;
-        };
-        if let Some(position) = self.proved_position(&primary, since_us) {
-            self.observe(since_us / 1_000, position, "reports");
+        }
+        if let Some(position) = self.received_by_others(since_us) {
+            self.observe(since_us / 1_000, position, "replicas");
             self.refresh_since_us = None;
             return;
         }
-        let is_late = clock::boot_us() >= since_us + PROOF_TIMEOUT_US;
-        if is_late {
+        if clock::boot_us() >= since_us + PROOF_TIMEOUT_US {
             self.refresh_since_us = None;
             return;
         }
-        self.want_report_since(&primary, since_us);
-        self.ask_witnesses(&primary, since_us);
+        match primary {
+            Some(primary) if self.answers(&primary) => {
+                self.want_report_since(&primary, since_us);
+                self.ask_witnesses(&primary, since_us);
+            }
+            _ => self.ask_all_since(since_us),
+        }
+    }
+
+    fn answers(&self, id: &Name) -> bool {
+        self.members.get(id).is_some_and(|m| m.failures == 0)
+    }
+
+    fn ask_all_since(&mut self, since_us: u64) {
+        let members: Vec<Name> = self.members.keys().cloned().collect();
+        for id in members {
+            self.want_report_since(&id, since_us);
+        }
+    }
+
+    fn received_by_others(&self, since_us: u64) -> Option<Position> {
+        let now_ms = clock::boot_ms();
+        let others = self.members.iter();
+        let others = others.filter(|(id, _)| Some(*id) != self.primary.as_ref());
+        let others = others.filter(|(_, m)| !m.is_gone(now_ms));
+        let received = others.map(|(_, m)| m.report.map(|(at, report)| (at, report.received)));
+        received_by_others(received, since_us, self.entry.sync_replicas)
     }
 
     fn proved_position(&self, primary: &Name, since_us: u64) -> Option<Position> {
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -25,10 +25,6 @@
 const SPREAD_MS: u64 = 150;
 /// Pause after an attempt, in milliseconds.
 const PAUSE_MS: u64 = 800;
-/// Time after which a member that is missing from the list counts as gone for
-/// good, in milliseconds: longer than a member that fell silent may take to
-/// come back with its log.
-const GONE_MS: u64 = 12_000;
 /// Time after which a member that is missing from the list is forgotten, in
 /// milliseconds.
 pub(super) const FORGET_MS: u64 = 60_000;
@@ -156,10 +152,6 @@
             held_ms = health.held_ms, term = self.highest_term();
             "replacing the primary"
         );
-        let is_gone = |m: &Member| {
-            let since = m.unlisted_since_ms;
-            since.is_some_and(|at| now_ms >= at + GONE_MS) && m.failures > 0
-        };
         let rivals = self.members.iter().map(|(id, m)| Rival {
             target: Target {
                 service: self.context.service.clone(),
@@ -168,7 +160,7 @@
             },
             is_primary: self.primary.as_ref() == Some(id),
             is_leaving: m.is_going(now_ms),
-            is_gone: is_gone(m),
+            is_gone: m.is_gone(now_ms),
         });
         let held = self.members.values().filter_map(|m| m.report);
         let highest = held.map(|(_, r)| r.term.max(r.held_term)).max();
