--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -159,6 +159,13 @@
         self.tell_all();
     }
 
+    /// Equal shares of the connections; `None` before the VMs are counted.
+    fn shares(&self) -> Option<usize> {
+        let vms_by_zone = self.vms_by_zone.borrow();
+        let zone = &self.shared.options.zone;
+        (!vms_by_zone.is_empty()).then(|| shares(&vms_by_zone, zone))
+    }
+
     fn tell_all(&self) {
         let services: Vec<Name> = self.shared.services.borrow().keys().cloned().collect();
         for service in services {
@@ -175,7 +182,7 @@
             // The task ends only with the process.
             let _ = mailbox.send(ServiceMessage::Members {
                 members,
-                shares: shares(&self.vms_by_zone.borrow(), &self.shared.options.zone),
+                shares: self.shares(),
             });
         }
     }
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -158,8 +158,9 @@
     Members {
         /// Members by id.
         members: BTreeMap<Name, MemberEntry>,
-        /// Equal shares that the connections to each are dealt out in.
-        shares: usize,
+        /// Equal shares that the connections to each are dealt out in; `None`
+        /// while that is not known.
+        shares: Option<usize>,
     },
     /// The configuration of the service.
     Entry(ServiceEntry),
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -35,6 +35,10 @@
 /// The same while a member does not answer.
 const FAILING_TICK_MS: u64 = 50;
 
+/// Equal shares of the connections before the VMs are counted: one connection
+/// for this VM, and more only while the member reports room.
+const UNCOUNTED_SHARES: usize = usize::MAX;
+
 /// What tasks of a service share.
 #[derive(Clone)]
 pub struct ServiceContext {
@@ -114,7 +118,7 @@
     let mut service = Service {
         context,
         entry,
-        shares: 1,
+        shares: UNCOUNTED_SHARES,
         members: BTreeMap::new(),
         primary: None,
         missing_since_ms: clock::boot_ms(),
@@ -216,9 +220,9 @@
         Duration::from_millis(wait_ms)
     }
 
-    fn change_members(&mut self, members: BTreeMap<Name, MemberEntry>, shares: usize) {
+    fn change_members(&mut self, members: BTreeMap<Name, MemberEntry>, shares: Option<usize>) {
         let now_ms = clock::boot_ms();
-        self.shares = shares.max(1);
+        self.shares = shares.unwrap_or(UNCOUNTED_SHARES);
         for (id, member) in &mut self.members {
             if !members.contains_key(id) {
                 member.unlisted_since_ms.get_or_insert(now_ms);
