--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,3 +17,4 @@
 pub mod route;
 pub mod standing;
 pub mod takeover;
+pub mod window;
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -21,6 +21,8 @@
     pub values: Values,
     /// Names of the statements that are prepared on it.
     pub prepared: BTreeSet<Name>,
+    /// Ends the count as a request that runs when it is dropped.
+    pub run: Option<Permit>,
     /// Time since which nobody uses it, in milliseconds.
     pub idle_since_ms: u64,
     /// Gives its place back when it is dropped.
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     clock,
-    decide::{admission::AdmissionQueue, dispatch::ConnectionBudget, member::Role},
+    decide::{admission::AdmissionQueue, dispatch::ConnectionBudget, member::Role, window::Window},
 };
 
 /// Requests that may wait for one member.
@@ -45,6 +45,10 @@
     pub opening: usize,
     /// Requests that wait for a connection.
     pub queue: AdmissionQueue<Acquire>,
+    /// Requests outside transactions that run there.
+    pub running: usize,
+    /// How many may.
+    pub window: Window,
     /// Time of the last report's question, in microseconds, and the report.
     pub report: Option<(u64, StatusReport)>,
     /// Time of the question that is on its way, in microseconds.
@@ -78,6 +82,8 @@
             open: 0,
             opening: 0,
             queue: AdmissionQueue::new(QUEUE_MAX),
+            running: 0,
+            window: Window::default(),
             report: None,
             probing_us: None,
             probe_after_us: None,
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -56,6 +56,8 @@
     pub deadline_ms: u64,
     /// Priority; zero goes first.
     pub priority: u32,
+    /// Whether it begins a transaction, which keeps the connection.
+    pub is_transaction: bool,
     /// Members that have failed this request.
     pub avoid: BTreeSet<Name>,
     /// Values of the session.
@@ -103,6 +105,16 @@
         /// Id of the member.
         member: Name,
     },
+    /// A request that was counted as running has ended.
+    RunEnded {
+        /// Id of the member.
+        member: Name,
+    },
+    /// The member refused a statement because it is full.
+    Full {
+        /// Id of the member.
+        member: Name,
+    },
     /// A connection was opened, or not.
     Opened {
         /// Id of the member.
--- a/src/relay/open.rs
+++ b/src/relay/open.rs
@@ -44,6 +44,7 @@
         member: target.member.clone(),
         values: BTreeMap::new(),
         prepared: BTreeSet::new(),
+        run: None,
         idle_since_ms: 0,
         _permit: permit,
     };
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -159,6 +159,12 @@
                     member.open = member.open.saturating_sub(1);
                 }
             }
+            ServiceMessage::RunEnded { member } => self.run_ended(&member),
+            ServiceMessage::Full { member } => {
+                if let Some(member) = self.members.get_mut(&member) {
+                    member.window.refused(clock::boot_ms());
+                }
+            }
             ServiceMessage::Opened { member, result } => self.opened(&member, result),
             ServiceMessage::Probed {
                 member,
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -111,6 +111,7 @@
             );
         };
         if member.queue.is_empty()
+            && member.window.has_room(member.running)
             && let Some(link) = member.take_idle(&acquire.values)
         {
             return self.grant(id, link, acquire);
@@ -134,7 +135,8 @@
         let (Some(target), Some(member)) = (self.target(id), self.members.get_mut(id)) else {
             return;
         };
-        let needs_more = member.queue.len() > member.opening;
+        let has_room = member.window.has_room(member.running + member.opening);
+        let needs_more = member.queue.len() > member.opening && has_room;
         if !needs_more || member.open >= limit || member.open_after_ms > now_ms {
             // The permit counts only connections that were counted as open.
             permit.forget();
@@ -152,7 +154,10 @@
         .detach();
     }
 
-    fn grant(&mut self, id: &Name, link: Link, acquire: Acquire) {
+    fn grant(&mut self, id: &Name, mut link: Link, acquire: Acquire) {
+        if !acquire.is_transaction {
+            link.run = Some(self.count_run(id));
+        }
         let led_term = self.members.get(id).and_then(Member::led_term);
         let freshness = acquire.want.freshness();
         let after = freshness.and_then(|f| self.ages.floor(f.since_ms).max(f.floor));
@@ -167,6 +172,23 @@
         }
     }
 
+    /// Counts a request as running until the permit is dropped.
+    fn count_run(&mut self, id: &Name) -> Permit {
+        if let Some(member) = self.members.get_mut(id) {
+            member.running += 1;
+        }
+        let context = self.context.clone();
+        let member = id.clone();
+        Permit::new(move || context.send(ServiceMessage::RunEnded { member }))
+    }
+
+    pub(super) fn run_ended(&mut self, id: &Name) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.running = member.running.saturating_sub(1);
+        }
+        self.serve_queue(id);
+    }
+
     fn limit(&self, member: &Member) -> usize {
         let budget = member.budget(self.entry.connections_max, self.shares);
         budget.limit(member.open)
@@ -187,7 +209,7 @@
             let Some(member) = self.members.get_mut(id) else {
                 return;
             };
-            if member.queue.is_empty() {
+            if member.queue.is_empty() || !member.window.has_room(member.running) {
                 return;
             }
             let Some(link) = member.take_idle(&Values::new()) else {
@@ -205,7 +227,9 @@
         let Some(member) = self.members.get_mut(&id) else {
             return;
         };
+        link.run = None;
         if let Some(read_us) = read_us {
+            member.window.done();
             member.record_read(read_us);
             member.queue.record(read_us);
         }
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -144,7 +144,7 @@
         &self,
         route: &Route,
         statement: &Statement,
-        want: Want,
+        (want, is_transaction): (Want, bool),
         avoid: BTreeSet<Name>,
         arrived_us: u64,
     ) -> std::result::Result<Granted, Refused> {
@@ -155,6 +155,7 @@
             want,
             deadline_ms: arrived_us / 1_000 + wait_ms,
             priority: route.priority,
+            is_transaction,
             avoid,
             values: self.values.clone(),
             reply,
@@ -245,6 +246,7 @@
         match class {
             ErrorClass::ReadOnly => self.send(service, ServiceMessage::NotPrimary { member }),
             ErrorClass::Lagging => self.send(service, ServiceMessage::Behind { member }),
+            ErrorClass::Busy => self.send(service, ServiceMessage::Full { member }),
             ErrorClass::WrongMember => self.suspect(service, &member, false),
             _ => {}
         }
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -82,7 +82,7 @@
                 _ => Want::Primary(None),
             };
             let granted = self
-                .acquire(&route, statement, want, avoid.clone(), arrived_us)
+                .acquire(&route, statement, (want, false), avoid.clone(), arrived_us)
                 .await;
             let granted = match granted {
                 Ok(granted) => granted,
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -105,7 +105,7 @@
         // once it does not lead any longer.
         let is_read_only = !want.is_primary();
         let granted = self
-            .acquire(route, statement, want, avoid.clone(), arrived_us)
+            .acquire(route, statement, (want, true), avoid.clone(), arrived_us)
             .await;
         let Granted {
             mut link,
