--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -19,10 +19,14 @@
     },
 }
 
-/// A queue ordered by deadline, with an estimate of the time to serve it.
+/// Place in a queue: priority, deadline in milliseconds, order of arrival.
+type Rank = (u32, u64, u64);
+
+/// A queue ordered by priority, then by deadline, with an estimate of the time
+/// to serve it.
 #[derive(Debug)]
 pub struct AdmissionQueue<T> {
-    waiting: BTreeMap<(u64, u64), T>,
+    waiting: BTreeMap<Rank, T>,
     sequence: u64,
     mean_service_us: f64,
     samples: u32,
@@ -83,22 +87,24 @@
         }
     }
 
-    /// Adds a request that must be served by `deadline_ms`.
-    pub fn push(&mut self, deadline_ms: u64, request: T) {
+    /// Adds a request that must be served by `deadline_ms`. Requests of priority
+    /// zero go first.
+    pub fn push(&mut self, priority: u32, deadline_ms: u64, request: T) {
         self.sequence += 1;
-        self.waiting.insert((deadline_ms, self.sequence), request);
+        let rank = (priority, deadline_ms, self.sequence);
+        self.waiting.insert(rank, request);
     }
 
-    /// Removes the request with the earliest deadline.
+    /// Removes the request that goes first.
     pub fn pop(&mut self) -> Option<T> {
         self.waiting.pop_first().map(|(_, request)| request)
     }
 
     /// Removes the requests whose deadline has passed at `now_ms`.
     pub fn expire(&mut self, now_ms: u64) -> Vec<T> {
-        let kept = self.waiting.split_off(&(now_ms + 1, 0));
-        let expired = std::mem::replace(&mut self.waiting, kept);
-        expired.into_values().collect()
+        let is_due = |rank: &Rank, _: &mut T| rank.1 <= now_ms;
+        let expired = self.waiting.extract_if(.., is_due);
+        expired.map(|(_, request)| request).collect()
     }
 
     /// Takes all requests out.
--- a/src/proxy/slot/task/reads.rs
+++ b/src/proxy/slot/task/reads.rs
@@ -33,7 +33,7 @@
             None => 0,
         };
         match self.writes.admit(left_ms, servers) {
-            Admission::Queue => self.writes.push(acquire.deadline_ms, acquire),
+            Admission::Queue => self.writes.push(0, acquire.deadline_ms, acquire),
             Admission::Refuse { retry_after_ms } => refuse_overloaded(acquire, retry_after_ms),
         }
     }
@@ -82,7 +82,7 @@
             reason: reason.into(),
             since_ms: reading.request.arrived_ms,
         };
-        chosen.ready.push(deadline_ms, ready);
+        chosen.ready.push(0, deadline_ms, ready);
     }
 
     /// Decides again for reads whose member no longer answers.
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -125,7 +125,9 @@
                 retry_after_ms,
             );
         }
-        member.queue.push(acquire.deadline_ms, acquire);
+        member
+            .queue
+            .push(acquire.priority, acquire.deadline_ms, acquire);
         self.open_if_needed(id, limit);
     }
 
--- a/tests/decide_control.rs
+++ b/tests/decide_control.rs
@@ -217,7 +217,7 @@
         queue.record(10_000);
     }
     for (deadline_ms, name) in [(300, "c"), (100, "a"), (200, "b")] {
-        queue.push(deadline_ms, name);
+        queue.push(0, deadline_ms, name);
     }
     // Three wait and a fourth is refused whatever its deadline.
     assert!(matches!(queue.admit(1_000, 1), Admission::Refuse { .. }));
--- /dev/null
+++ b/tests/decide_relay.rs
@@ -0,0 +1,303 @@
+//! Decisions of the relay: proofs, floors, connections, windows, successors.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use foxtailknot::{
+    decide::{
+        admission::AdmissionQueue,
+        age::{AgeTracker, is_floor_due},
+        dispatch::{ConnectionBudget, ReadCandidate, choose_reader, shares},
+        standing::{Standing, Testimony, received_by_others, standing, testimonies_needed},
+        takeover::{
+            Candidate, Choice, Fenced, PrimaryHealth, Reason, Stuck, TakeoverSettings, WaitReason,
+            choose, doubt,
+        },
+        window::Window,
+    },
+    lsn::Lsn,
+    position::Position,
+};
+use yare::parameterized;
+
+fn at(term: u64, lsn: u64) -> Position {
+    Position::new(term, Lsn(lsn))
+}
+
+fn said(asked_us: u64, term: u64) -> Testimony {
+    Testimony { asked_us, term }
+}
+
+#[parameterized(
+    alone = { 1, 1, 0 },
+    two = { 2, 1, 1 },
+    three = { 3, 1, 1 },
+    four_while_one_is_replaced = { 4, 1, 2 },
+    three_without_synchronous_replicas = { 3, 0, 2 },
+)]
+fn testimonies(members: usize, sync_replicas: u32, expected: usize) {
+    assert_eq!(testimonies_needed(members, sync_replicas), expected);
+}
+
+#[parameterized(
+    proved = { vec![said(11, 1), said(4, 1)], 1, Standing::Proved { term: 1 } },
+    asked_before = { vec![said(10, 1), said(4, 1)], 1, Standing::Open },
+    refuted_by_one = { vec![said(11, 1), said(12, 2)], 1, Standing::Proved { term: 2 } },
+    too_few = { vec![said(11, 1)], 2, Standing::Open },
+)]
+fn proof_of_the_primary(others: Vec<Testimony>, needed: usize, expected: Standing) {
+    assert_eq!(standing(others.into_iter(), 10, needed), expected);
+}
+
+#[parameterized(
+    the_most_advanced_counts = { vec![Some((11, at(1, 5))), Some((12, at(1, 7)))], 1, Some(at(1, 7)) },
+    one_was_not_heard = { vec![Some((11, at(1, 5))), None], 1, None },
+    one_was_asked_before = { vec![Some((11, at(1, 5))), Some((10, at(1, 7)))], 1, None },
+    nobody_else = { vec![], 1, None },
+    without_synchronous_replicas = { vec![Some((11, at(1, 5)))], 0, None },
+)]
+fn floor_without_a_primary(
+    others: Vec<Option<(u64, Position)>>,
+    sync_replicas: u32,
+    expected: Option<Position>,
+) {
+    let floor = received_by_others(others.into_iter(), 10, sync_replicas);
+    assert_eq!(floor, expected);
+}
+
+/// The oldest observation that is young enough asks least of replicas.
+#[test]
+fn floor_of_an_age() {
+    let mut ages = AgeTracker::default();
+    ages.observe(100, at(1, 5));
+    ages.observe(200, at(1, 9));
+    assert_eq!(ages.floor(50), Some(at(1, 5)));
+    assert_eq!(ages.floor(100), Some(at(1, 5)));
+    assert_eq!(ages.floor(101), Some(at(1, 9)));
+    assert_eq!(ages.floor(201), None);
+}
+
+#[parameterized(
+    young = { 1_000, false, false },
+    old = { 1_250, false, true },
+    replicas_are_behind = { 700, true, true },
+)]
+fn floor_is_renewed(age_ms: u64, is_behind: bool, expected: bool) {
+    assert_eq!(is_floor_due(age_ms, 1_500, is_behind), expected);
+}
+
+fn candidate(name: &str, mean_ms: f64) -> ReadCandidate {
+    ReadCandidate {
+        member: name.into(),
+        is_primary: false,
+        is_behind: false,
+        mean_ms,
+        connections: 2,
+        in_use: 0,
+        waiting: 0,
+    }
+}
+
+#[parameterized(
+    near = { candidate("near", 20.0), candidate("far", 65.0), "near" },
+    replica_before_a_near_primary = {
+        ReadCandidate { is_primary: true, ..candidate("near", 20.0) }, candidate("far", 25.0), "far" },
+    near_primary_before_a_far_replica = {
+        ReadCandidate { is_primary: true, ..candidate("near", 20.0) }, candidate("far", 65.0), "near" },
+    far_once_the_near_queue_is_long = {
+        ReadCandidate { in_use: 2, waiting: 6, ..candidate("near", 20.0) }, candidate("far", 65.0),
+        "far" },
+    far_while_the_near_one_is_behind = {
+        ReadCandidate { is_behind: true, ..candidate("near", 20.0) }, candidate("far", 65.0), "far" },
+)]
+fn reader(near: ReadCandidate, far: ReadCandidate, expected: &str) {
+    let candidates = [near, far];
+    let chosen = choose_reader(&candidates).map(|c| c.member.clone());
+    assert_eq!(chosen, Some(Arc::from(expected)));
+}
+
+fn budget(shares: usize, reported: Option<usize>) -> ConnectionBudget {
+    ConnectionBudget {
+        connections_max: 48,
+        shares,
+        reported,
+    }
+}
+
+#[parameterized(
+    fair_share = { budget(13, None), 5, 2 },
+    more_while_there_is_room = { budget(13, Some(20)), 5, 6 },
+    no_more_once_it_is_full = { budget(13, Some(40)), 5, 2 },
+    at_least_one = { budget(100, Some(48)), 0, 1 },
+    uncounted = { budget(usize::MAX, None), 3, 1 },
+)]
+fn connections(budget: ConnectionBudget, own: usize, expected: usize) {
+    assert_eq!(budget.limit(own), expected);
+}
+
+#[parameterized(
+    used_a_moment_ago = { budget(13, Some(10)), 5, 100, false },
+    idle = { budget(13, Some(10)), 2, 5_000, true },
+    the_last_one_stays = { budget(13, Some(10)), 1, 60_000, false },
+    beyond_the_share_of_a_full_member = { budget(13, Some(40)), 3, 0, true },
+)]
+fn surplus(budget: ConnectionBudget, own: usize, idle_ms: u64, expected: bool) {
+    assert_eq!(budget.is_surplus(own, idle_ms), expected);
+}
+
+/// A zone with few VMs gives each a larger share.
+#[test]
+fn shares_by_zone() {
+    let vms: BTreeMap<Arc<str>, usize> = [("a".into(), 7), ("b".into(), 4), ("c".into(), 2)].into();
+    assert_eq!(shares(&vms, &"a".into()), 21);
+    assert_eq!(shares(&vms, &"c".into()), 6);
+    assert_eq!(shares(&vms, &"unknown".into()), 3);
+}
+
+/// A full member is given fewer requests, and more again as it answers.
+#[test]
+fn window_follows_refusals() {
+    let mut window = Window::default();
+    assert!(window.has_room(7));
+    window.refused(1_000);
+    assert!(window.has_room(3) && !window.has_room(4));
+    // What was sent before is refused as well: it says nothing new.
+    window.refused(1_010);
+    assert!(window.has_room(3));
+    for pause in 1..10 {
+        window.refused(1_000 + pause * 100);
+    }
+    assert!(window.has_room(0) && !window.has_room(1));
+    for _ in 0..200 {
+        window.done();
+    }
+    assert!(window.has_room(10));
+}
+
+/// Urgent requests go first, and within a priority those with little time.
+#[test]
+fn queue_by_priority_and_deadline() {
+    let mut queue = AdmissionQueue::new(10);
+    for (priority, deadline_ms, name) in [(2, 50, "c"), (1, 90, "b"), (2, 80, "d"), (1, 60, "a")] {
+        queue.push(priority, deadline_ms, name);
+    }
+    assert_eq!(queue.expire(50), ["c"]);
+    assert_eq!(queue.pop(), Some("a"));
+    assert_eq!(queue.pop(), Some("b"));
+    assert_eq!(queue.pop(), Some("d"));
+}
+
+fn fenced(lsn: u64) -> Option<Fenced> {
+    Some(Fenced {
+        received: at(1, lsn),
+    })
+}
+
+fn rival(name: &str, fenced: Option<Fenced>) -> Candidate {
+    Candidate {
+        member: name.into(),
+        is_primary: false,
+        is_leaving: false,
+        is_gone: false,
+        fenced,
+    }
+}
+
+fn led(fenced: Option<Fenced>) -> Candidate {
+    Candidate {
+        is_primary: true,
+        ..rival("primary", fenced)
+    }
+}
+
+fn leaving(candidate: Candidate) -> Candidate {
+    Candidate {
+        is_leaving: true,
+        ..candidate
+    }
+}
+
+fn gone(candidate: Candidate) -> Candidate {
+    Candidate {
+        is_gone: true,
+        ..candidate
+    }
+}
+
+fn promote(name: &str) -> Choice {
+    Choice::Promote(name.into())
+}
+
+const UNSAFE: Choice = Choice::Wait(WaitReason::PrimaryMayAcknowledge);
+
+#[parameterized(
+    most_advanced_of_all_others = {
+        vec![led(None), rival("a", fenced(5)), rival("b", fenced(9))], promote("b") },
+    silent_primary_and_silent_replica = {
+        vec![led(None), rival("a", fenced(5)), rival("b", None)], UNSAFE },
+    silent_primary_and_a_replica_that_is_gone = {
+        vec![led(None), rival("a", fenced(5)), gone(rival("b", None))], promote("a") },
+    stepped_down_and_a_replica_is_level = {
+        vec![led(fenced(9)), rival("a", fenced(9)), rival("b", None)], promote("a") },
+    stepped_down_and_the_replica_is_behind = {
+        vec![led(fenced(9)), rival("a", fenced(5)), rival("b", None)], promote("primary") },
+    stepped_down_with_commits_nobody_received = {
+        vec![led(fenced(9)), rival("a", fenced(5)), rival("b", fenced(7))], promote("b") },
+    leaving_replica_holds_the_last_commits = {
+        vec![led(None), rival("a", fenced(5)), leaving(rival("b", fenced(9)))], promote("b") },
+    leaving_replica_is_level = {
+        vec![led(None), rival("a", fenced(9)), leaving(rival("b", fenced(9)))], promote("a") },
+    primary_is_leaving = {
+        vec![leaving(led(fenced(9))), rival("a", fenced(9)), rival("b", fenced(9))], promote("b") },
+    nobody_answers = {
+        vec![led(None), rival("a", None), rival("b", None)],
+        Choice::Wait(WaitReason::NobodyFenced) },
+    no_primary_is_known = { vec![rival("a", fenced(5)), rival("b", fenced(9))], promote("b") },
+)]
+fn successor(candidates: Vec<Candidate>, expected: Choice) {
+    assert_eq!(choose(&candidates), expected);
+}
+
+const SETTINGS: TakeoverSettings = TakeoverSettings {
+    silent_ms: 250,
+    failures: 2,
+    stuck_ms: 900,
+    unfinished_ms: 2_500,
+    missing_ms: 1_200,
+};
+
+fn well() -> PrimaryHealth {
+    PrimaryHealth {
+        is_known: true,
+        others_answer: true,
+        ..PrimaryHealth::default()
+    }
+}
+
+#[parameterized(
+    healthy = { well(), None },
+    silent = { PrimaryHealth { failures: 2, silent_ms: 250, ..well() }, Some(Reason::Silent) },
+    one_failure = { PrimaryHealth { failures: 1, silent_ms: 900, ..well() }, None },
+    this_vm_is_cut_off = {
+        PrimaryHealth { failures: 9, silent_ms: 900, others_answer: false, ..well() }, None },
+    leaving = { PrimaryHealth { is_leaving: true, ..well() }, Some(Reason::Leaving) },
+    stuck = { PrimaryHealth { stuck_ms: 900, ..well() }, Some(Reason::Stuck) },
+    left_unfinished = { PrimaryHealth { held_ms: 2_500, ..well() }, Some(Reason::Unfinished) },
+    missing = {
+        PrimaryHealth { is_known: false, missing_ms: 1_200, ..well() }, Some(Reason::NoPrimary) },
+    not_missing_for_long = { PrimaryHealth { is_known: false, missing_ms: 90, ..well() }, None },
+)]
+fn doubt_of_the_primary(health: PrimaryHealth, expected: Option<Reason>) {
+    assert_eq!(doubt(&health, &SETTINGS), expected);
+}
+
+/// A late answer alone does not make a primary stuck: a replica that received
+/// what the primary held then proves that it was the answer that was lost.
+#[test]
+fn lost_answer_is_no_stuck_commit() {
+    let mut stuck = Stuck::new(100);
+    assert!(!stuck.is_over(at(1, 9)));
+    stuck.note_primary(at(1, 7));
+    stuck.note_primary(at(1, 9));
+    assert!(!stuck.is_over(at(1, 6)));
+    assert!(stuck.is_over(at(1, 7)));
+}
