--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -63,6 +63,15 @@
         .min_by(|a, b| a.cost_ms().total_cmp(&b.cost_ms()))
 }
 
+/// Whether a VM is cut off from a service of `members` members of which
+/// `failing` do not answer it.
+///
+/// Alone with one member it can neither prove who leads nor have a commit
+/// acknowledged, but other VMs may: callers are sent there at once.
+pub fn is_cut_off(members: usize, failing: usize) -> bool {
+    failing * 2 > members
+}
+
 /// What a VM knows of the connections to a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionBudget {
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -5,7 +5,7 @@
     decide::{
         admission::Admission,
         age::is_floor_due,
-        dispatch::{ReadCandidate, choose_reader},
+        dispatch::{ReadCandidate, choose_reader, is_cut_off},
     },
     relay::{MemberRequest, RelayError, Result, exchange::request, link::Link},
 };
@@ -22,6 +22,9 @@
 /// When to come back while there is no primary, in milliseconds: a replacement
 /// takes about this long.
 const NO_PRIMARY_RETRY_MS: u64 = 1_000;
+/// When to come back to a VM that most members do not answer, in milliseconds;
+/// another VM may serve at once.
+const CUT_OFF_RETRY_MS: u64 = 1_000;
 /// When to come back when no replica could be asked, in milliseconds.
 const NO_FLOOR_RETRY_MS: u64 = 300;
 /// When to come back after a full queue, in milliseconds.
@@ -36,8 +39,7 @@
                 self.refresh_floor();
             }
             if self.ages.floor(freshness.since_ms).is_none() {
-                self.waiting_floor.push(acquire);
-                return;
+                return self.wait_for_floor(acquire);
             }
         }
         match acquire.want {
@@ -54,18 +56,46 @@
 
     fn acquire_primary(&mut self, acquire: Acquire) {
         let primary = self.primary.clone();
-        let usable = primary.filter(|p| self.members.get(p).is_some_and(|m| m.failures == 0));
+        let usable = primary.filter(|p| self.answers(p));
+        if self.is_cut_off() {
+            return refuse(
+                acquire,
+                ErrorClass::Busy,
+                "most members do not answer this VM",
+                CUT_OFF_RETRY_MS,
+            );
+        }
         match usable {
-            Some(primary) => self.serve_on(&primary, acquire),
-            None => self.waiting_primary.push(acquire),
+            // While commits wait for a replica, more would only wait as well.
+            Some(primary) if self.stuck.is_none() => self.serve_on(&primary, acquire),
+            _ => self.waiting_primary.push(acquire),
         }
     }
 
     fn acquire_reader(&mut self, acquire: Acquire, freshness: &Freshness) {
         match self.choose_reader(&acquire, freshness) {
             Some(member) => self.serve_on(&member, acquire),
-            None => self.waiting_floor.push(acquire),
+            None => self.wait_for_floor(acquire),
+        }
+    }
+
+    fn wait_for_floor(&mut self, acquire: Acquire) {
+        if self.is_cut_off() {
+            return refuse(
+                acquire,
+                ErrorClass::Busy,
+                "most members do not answer this VM",
+                CUT_OFF_RETRY_MS,
+            );
         }
+        self.waiting_floor.push(acquire);
+    }
+
+    fn is_cut_off(&self) -> bool {
+        let now_ms = clock::boot_ms();
+        let counted = self.members.values().filter(|m| !m.is_lost(now_ms));
+        let failing = counted.clone().filter(|m| m.failures > 0);
+        is_cut_off(counted.count(), failing.count())
     }
 
     fn choose_reader(&self, acquire: &Acquire, freshness: &Freshness) -> Option<Name> {
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -240,7 +240,7 @@
         }
     }
 
-    fn answers(&self, id: &Name) -> bool {
+    pub(super) fn answers(&self, id: &Name) -> bool {
         self.members.get(id).is_some_and(|m| m.failures == 0)
     }
 
--- a/tests/decide_relay.rs
+++ b/tests/decide_relay.rs
@@ -6,7 +6,7 @@
     decide::{
         admission::AdmissionQueue,
         age::{AgeTracker, is_floor_due},
-        dispatch::{ConnectionBudget, ReadCandidate, choose_reader, shares},
+        dispatch::{ConnectionBudget, ReadCandidate, choose_reader, is_cut_off, shares},
         standing::{Standing, Testimony, received_by_others, standing, testimonies_needed},
         takeover::{
             Candidate, Choice, Fenced, PrimaryHealth, Reason, Stuck, TakeoverSettings, WaitReason,
@@ -144,6 +144,16 @@
     assert_eq!(budget.is_surplus(own, idle_ms), expected);
 }
 
+#[parameterized(
+    one_of_three = { 3, 1, false },
+    two_of_three = { 3, 2, true },
+    two_of_four = { 4, 2, false },
+    none_listed = { 0, 0, false },
+)]
+fn cut_off(members: usize, failing: usize, expected: bool) {
+    assert_eq!(is_cut_off(members, failing), expected);
+}
+
 /// A zone with few VMs gives each a larger share.
 #[test]
 fn shares_by_zone() {
