--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -72,8 +72,8 @@
         if *zone == self.zone {
             return 0;
         }
-        let is_near = self.regions.get(zone).is_some()
-            && self.regions.get(zone) == self.regions.get(&self.zone);
+        let region = self.regions.get(zone);
+        let is_near = region.is_some() && region == self.regions.get(&self.zone);
         if is_near { 1 } else { 2 }
     }
 }
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -1,7 +1,5 @@
 //! One attempt to replace a primary: claim, fence, choose, promote.
 
-use std::cell::{Cell, RefCell};
-
 use futures::future::join_all;
 use rand::Rng;
 
@@ -86,17 +84,15 @@
 }
 
 async fn attempt(plan: &TakeoverPlan, claim: &Claim, started_ms: u64) -> Option<Name> {
-    let fenced = RefCell::new(BTreeMap::new());
-    let is_outdated = Cell::new(false);
+    let mut fenced = BTreeMap::new();
     let mut refused = BTreeSet::new();
     let mut round = 0;
     while clock::boot_ms() < started_ms + ATTEMPT_MS {
-        fence(plan, &fenced, &is_outdated).await;
-        if is_outdated.get() {
+        if !fence(plan, &mut fenced).await {
             break;
         }
         round += 1;
-        let candidates = candidates(plan, &fenced.borrow(), &refused);
+        let candidates = candidates(plan, &fenced, &refused);
         let choice = choose(&candidates);
         decision!(
             "takeover", service = &*plan.context.service, fence = claim.fence,
@@ -107,9 +103,7 @@
             compio::time::sleep(ROUND_PAUSE).await;
             continue;
         };
-        let is_primary = |r: &&Rival| r.is_primary && r.target.member == member;
-        let falls_back = plan.rivals.iter().any(|r| is_primary(&r));
-        if falls_back && round < CATCH_UP_ROUNDS {
+        if plan.is_primary(&member) && round < CATCH_UP_ROUNDS {
             compio::time::sleep(ROUND_PAUSE).await;
             continue;
         }
@@ -119,7 +113,7 @@
         match promote(plan, claim, &member).await {
             PromoteOutcome::Accepted => {
                 await_lead(plan, &member).await;
-                resume(plan, &fenced.borrow()).await;
+                resume(plan, &fenced).await;
                 return Some(member);
             }
             PromoteOutcome::Refused => {
@@ -129,50 +123,73 @@
             PromoteOutcome::Unknown => {}
         }
     }
-    resume(plan, &fenced.borrow()).await;
+    resume(plan, &fenced).await;
     None
 }
 
-/// Orders all members that are not fenced yet to stop, at once.
-///
-/// A member that leads without being the one that is replaced makes the plan
-/// outdated.
-async fn fence(
-    plan: &TakeoverPlan,
-    fenced: &RefCell<BTreeMap<Name, Fenced>>,
-    is_outdated: &Cell<bool>,
-) {
+impl TakeoverPlan {
+    fn is_primary(&self, member: &Name) -> bool {
+        let mut rivals = self.rivals.iter();
+        rivals.any(|r| r.is_primary && r.target.member == *member)
+    }
+}
+
+/// What became of an order to stop.
+enum Order {
+    Fenced(Name, Fenced),
+    /// The member leads without being the one that is replaced.
+    Leads,
+    Missed,
+}
+
+/// Orders all members that are not fenced yet to stop, at once. `false` if
+/// another member leads already: the plan is outdated then.
+async fn fence(plan: &TakeoverPlan, fenced: &mut BTreeMap<Name, Fenced>) -> bool {
     let open = plan.rivals.iter();
-    let open = open.filter(|r| !fenced.borrow().contains_key(&r.target.member));
-    let open: Vec<&Rival> = open.collect();
-    let orders = open.into_iter().map(|rival| async move {
-        let order = match rival.is_primary {
-            true => MemberRequest::StepDown { term: plan.term },
-            false => MemberRequest::Hold { term: plan.term },
-        };
-        let report = order_member(plan, &rival.target, &order).await;
-        let name = &rival.target.member;
-        match report {
-            Ok(report) if is_fenced(plan, rival, &report) => {
-                let received = report.received;
-                fenced
-                    .borrow_mut()
-                    .insert(name.clone(), Fenced { received });
-            }
-            Ok(report) if report.role == Role::Primary && !rival.is_primary => {
-                is_outdated.set(true);
+    let open = open.filter(|r| !fenced.contains_key(&r.target.member));
+    let orders = join_all(open.map(|rival| order_to_stop(plan, rival))).await;
+    let mut is_current = true;
+    for order in orders {
+        match order {
+            Order::Fenced(member, answer) => {
+                fenced.insert(member, answer);
             }
-            Ok(report) => decision!(
-                "takeover", service = &*plan.context.service, member = &**name,
-                report = format!("{report:?}"); "member not fenced"
-            ),
-            Err(error) => decision!(
-                "takeover", service = &*plan.context.service, member = &**name,
+            Order::Leads => is_current = false,
+            Order::Missed => {}
+        }
+    }
+    is_current
+}
+
+async fn order_to_stop(plan: &TakeoverPlan, rival: &Rival) -> Order {
+    let term = plan.term;
+    let order = match rival.is_primary {
+        true => MemberRequest::StepDown { term },
+        false => MemberRequest::Hold { term },
+    };
+    let member = &rival.target.member;
+    let report = match order_member(plan, &rival.target, &order).await {
+        Ok(report) => report,
+        Err(error) => {
+            decision!(
+                "takeover", service = &*plan.context.service, member = &**member,
                 reason = error.to_string(); "member not reached"
-            ),
+            );
+            return Order::Missed;
         }
-    });
-    join_all(orders).await;
+    };
+    if is_fenced(plan, rival, &report) {
+        let received = report.received;
+        return Order::Fenced(member.clone(), Fenced { received });
+    }
+    decision!(
+        "takeover", service = &*plan.context.service, member = &**member,
+        report = format!("{report:?}"); "member not fenced"
+    );
+    match report.role == Role::Primary && !rival.is_primary {
+        true => Order::Leads,
+        false => Order::Missed,
+    }
 }
 
 /// A primary is fenced once it follows; a replica once it does not receive. A
