--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -40,5 +40,7 @@
     }
     // Only a second call could fail.
     let _ = logging::start(&settings.vm, settings.log_level, &settings.log_targets);
-    Ok(daemon::run(settings)?)
+    let ended = daemon::run(settings);
+    logging::flush();
+    Ok(ended?)
 }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,12 +1,30 @@
-//! Logs as JSON lines.
+//! Logs as JSON lines on standard output, which never block who writes them.
 
-use std::time::SystemTime;
+use std::{
+    io::Write,
+    sync::{
+        OnceLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::SystemTime,
+};
 
 use log::{LevelFilter, Record};
 use serde_json::{Map, Value, json};
 
 use crate::prelude::*;
 
+/// Lines that wait for standard output; more are left out. A few seconds of
+/// the most that the decisions write.
+const LINES_MAX: usize = 4_096;
+/// Longest wait for the last lines at the end of the process.
+const FLUSH_WAIT: Duration = Duration::from_millis(200);
+/// Pause between two looks whether they are written.
+const FLUSH_POLL: Duration = Duration::from_millis(2);
+
+static LINES: OnceLock<flume::Sender<String>> = OnceLock::new();
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
 /// Starts logging to standard output.
 ///
 /// # Errors
@@ -17,6 +35,10 @@
     level: LevelFilter,
     targets: &BTreeMap<String, LevelFilter>,
 ) -> std::result::Result<(), log::SetLoggerError> {
+    let (lines, written) = flume::bounded(LINES_MAX);
+    // A second logger is refused below.
+    let _ = LINES.set(lines.clone());
+    std::thread::spawn(move || write_lines(&written, &mut std::io::stdout()));
     let vm = vm.clone();
     // The calls between VMs would drown the decisions.
     let mut dispatch = fern::Dispatch::new()
@@ -29,10 +51,45 @@
         .format(move |out, message, record| {
             out.finish(format_args!("{}", line(&vm, &message.to_string(), record)));
         })
-        .chain(std::io::stdout())
+        .chain(fern::Output::call(move |record| {
+            queue(&lines, format!("{}\n", record.args()));
+        }))
         .apply()
 }
 
+/// Hands a line over, or counts it as left out when too many wait.
+pub fn queue(lines: &flume::Sender<String>, line: String) {
+    if lines.try_send(line).is_err() {
+        LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Writes lines until their senders are gone; says how many were left out.
+pub fn write_lines(lines: &flume::Receiver<String>, output: &mut impl Write) {
+    while let Ok(first) = lines.recv() {
+        let mut text = first;
+        text.extend(lines.drain());
+        let left_out = LEFT_OUT.swap(0, Ordering::Relaxed);
+        if left_out > 0 {
+            let line = json!({"event": "log lines left out", "level": "WARN", "lines": left_out});
+            text.push_str(&format!("{line}\n"));
+        }
+        // Without a reader there is nobody to tell.
+        if output.write_all(text.as_bytes()).is_err() || output.flush().is_err() {
+            return;
+        }
+    }
+}
+
+/// Waits a moment for the lines written so far, before the process ends.
+pub fn flush() {
+    let deadline = Instant::now() + FLUSH_WAIT;
+    let Some(lines) = LINES.get() else { return };
+    while !lines.is_empty() && Instant::now() < deadline {
+        std::thread::sleep(FLUSH_POLL);
+    }
+}
+
 fn line(vm: &str, message: &str, record: &Record<'_>) -> Value {
     let mut fields = Map::new();
     let time = humantime::format_rfc3339_micros(SystemTime::now());
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -42,6 +42,12 @@
     pub acknowledge_wait_ms: Histogram<f64>,
     /// Promotions by outcome.
     pub promotions: Counter<u64>,
+    /// Statements of the relay by kind and outcome.
+    pub statements: Counter<u64>,
+    /// Time from a statement to its answer, in milliseconds, by kind.
+    pub statement_ms: Histogram<f64>,
+    /// Age of the floor that a read was granted with, in milliseconds.
+    pub floor_age_ms: Histogram<f64>,
     /// Bytes of calls between VMs, by direction.
     pub peer_bytes: Counter<u64>,
 }
@@ -77,6 +83,9 @@
                 .f64_histogram("foxtailknot_acknowledge_wait_ms")
                 .build(),
             promotions: counter("foxtailknot_promotions"),
+            statements: counter("foxtailknot_statements"),
+            statement_ms: meter.f64_histogram("foxtailknot_statement_ms").build(),
+            floor_age_ms: meter.f64_histogram("foxtailknot_floor_age_ms").build(),
             peer_bytes: counter("foxtailknot_peer_bytes"),
             _provider: provider,
         })
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -131,7 +131,7 @@
 
     fn start_service(&self, name: &Name, entry: super::ServiceEntry) {
         let options = self.shared.options.clone();
-        let mailbox = service::start(name.clone(), entry, options);
+        let mailbox = service::start(name.clone(), entry, options, self.shared.metrics.clone());
         self.shared
             .services
             .borrow_mut()
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -26,7 +26,7 @@
 }
 
 /// Answer to a promotion.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum PromoteOutcome {
     /// It will lead.
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -24,6 +24,7 @@
         takeover::{Reason, Stuck},
     },
     decision_log::decision,
+    metrics::{Metrics, label, name_label},
     prelude::*,
     proxy::link::Permit,
 };
@@ -46,6 +47,8 @@
     pub service: Name,
     /// Surroundings.
     pub options: Rc<RelayOptions>,
+    /// Metrics.
+    pub metrics: Metrics,
     /// The service's own mailbox.
     pub mailbox: flume::Sender<ServiceMessage>,
 }
@@ -99,11 +102,13 @@
     service: Name,
     entry: ServiceEntry,
     options: Rc<RelayOptions>,
+    metrics: Metrics,
 ) -> flume::Sender<ServiceMessage> {
     let (mailbox, messages) = flume::unbounded();
     let context = ServiceContext {
         service,
         options,
+        metrics,
         mailbox: mailbox.clone(),
     };
     compio::runtime::spawn(run(context, entry, messages)).detach();
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -193,6 +193,9 @@
         let led_term = self.members.get(id).and_then(Member::led_term);
         let freshness = acquire.want.freshness();
         let after = freshness.and_then(|f| self.ages.floor(f.since_ms).max(f.floor));
+        if matches!(acquire.want, Want::Read(_)) {
+            self.count_read(led_term.is_some());
+        }
         let granted = Granted {
             link,
             after,
@@ -204,6 +207,22 @@
         }
     }
 
+    fn count_read(&self, is_primary: bool) {
+        let kind = match is_primary {
+            true => "primary",
+            false => "replica",
+        };
+        let labels = [
+            label("kind", kind),
+            name_label("service", &self.context.service),
+        ];
+        let metrics = &self.context.metrics;
+        metrics.reads.add(1, &labels);
+        let newest_ms = self.ages.newest_ms().unwrap_or(0);
+        let age_ms = clock::boot_ms().saturating_sub(newest_ms);
+        metrics.floor_age_ms.record(age_ms as f64, &labels[1..]);
+    }
+
     /// Counts a request as running until the permit is dropped.
     fn count_run(&mut self, id: &Name) -> Permit {
         if let Some(member) = self.members.get_mut(id) {
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -20,7 +20,7 @@
     socket::{self, Socket},
     transaction::Transaction,
 };
-use crate::{clock, decision_log::decision, prelude::*};
+use crate::{clock, decision_log::decision, metrics::label, prelude::*};
 
 /// Largest message before the configuration says otherwise, in bytes.
 const MESSAGE_MAX_BYTES: usize = 1 << 20;
@@ -49,6 +49,15 @@
 }
 
 impl Reply {
+    /// Name of the outcome, for logs and metrics.
+    fn outcome(&self) -> &'static str {
+        match self {
+            Reply::Answer(answer) => answer.error.map_or("done", Into::into),
+            Reply::Done => "done",
+            Reply::Error(class, _) => (*class).into(),
+        }
+    }
+
     fn error(class: ErrorClass, text: impl Into<String>) -> Reply {
         Reply::Error(class, text.into())
     }
@@ -301,12 +310,14 @@
         let reply = self.execute(statement, arrived_us).await;
         let codec = &self.shared.options.codecs.caller;
         let kind: &'static str = (&statement.kind).into();
-        let (outcome, reason): (&str, &str) = match &reply {
-            Reply::Answer(answer) => (answer.error.map_or("done", Into::into), ""),
-            Reply::Done => ("done", ""),
-            Reply::Error(class, text) => ((*class).into(), text),
+        let outcome = reply.outcome();
+        let reason = match &reply {
+            Reply::Error(_, text) => text,
+            _ => "",
         };
-        let took_ms = (clock::boot_us() - arrived_us) / 1_000;
+        let took_us = clock::boot_us() - arrived_us;
+        let took_ms = took_us / 1_000;
+        self.count(kind, outcome, took_us);
         self.log(statement, kind, outcome, reason, took_ms);
         match reply {
             Reply::Answer(answer) => output.extend_from_slice(&answer.body),
@@ -316,6 +327,15 @@
         (codec.ready)(output, self.state(), self.position);
     }
 
+    fn count(&self, kind: &'static str, outcome: &'static str, took_us: u64) {
+        let labels = [label("kind", kind), label("outcome", outcome)];
+        let metrics = &self.shared.metrics;
+        metrics.statements.add(1, &labels);
+        metrics
+            .statement_ms
+            .record(took_us as f64 / 1_000.0, &labels[..1]);
+    }
+
     fn log(&self, statement: &Statement, kind: &str, outcome: &str, reason: &str, took_ms: u64) {
         let version = self
             .shared
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -98,6 +98,8 @@
                 Step::Again { reason, elsewhere } => (reason, elsewhere),
             };
             failures += 1;
+            let labels = [label("code", reason)];
+            self.shared.metrics.retries.add(1, &labels);
             decision!(
                 "retry", request = String::from_utf8_lossy(&statement.id),
                 member = &*member, failures = failures, reason = reason; "trying again"
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -16,6 +16,7 @@
         takeover::{Candidate, Choice, Fenced, Reason, choose},
     },
     decision_log::decision,
+    metrics::{label, name_label},
     prelude::*,
     proxy::link::Permit,
 };
@@ -243,6 +244,11 @@
         fence: claim.fence,
     };
     let outcome = (plan.context.options.authority.promote)(promotion).await;
+    let labels = [
+        label("outcome", outcome),
+        name_label("service", &plan.context.service),
+    ];
+    plan.context.metrics.promotions.add(1, &labels);
     decision!(
         "takeover", service = &*plan.context.service, member = &**member,
         fence = claim.fence, outcome = outcome.to_string(); "promotion ordered"
