--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -128,32 +128,43 @@
 }
 
 /// A commit that waits at a primary which answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+///
+/// It is stuck only once a replica was seen to lack what the primary holds. A
+/// late answer alone may be lost, or the primary may have much to do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Stuck {
-    /// Time since which it waits, in milliseconds.
-    pub since_ms: u64,
-    /// Position of the primary's log after that.
-    pub position: Option<Position>,
+    position: Option<Position>,
+    lacking_since_ms: Option<u64>,
 }
 
 impl Stuck {
-    /// A commit that is late at `now_ms`.
-    pub fn new(now_ms: u64) -> Stuck {
-        Stuck {
-            since_ms: now_ms,
-            position: None,
+    /// Takes the position that the primary reported while the commit waits.
+    pub fn note_primary(&mut self, received: Position) {
+        self.position.get_or_insert(received);
+    }
+
+    /// Takes what a replica reported at `now_ms`; `true` if that proves that
+    /// commits go on.
+    pub fn note_replica(&mut self, received: Position, now_ms: u64) -> bool {
+        let Some(position) = self.position else {
+            return false;
+        };
+        if received >= position {
+            return true;
         }
+        self.lacking_since_ms.get_or_insert(now_ms);
+        false
     }
 
-    /// Takes the position that the primary reported.
-    pub fn note_primary(&mut self, received: Position) {
-        self.position.get_or_insert(received);
+    /// Time since which a replica is known to lack the commit, in milliseconds.
+    pub fn stuck_ms(&self, now_ms: u64) -> u64 {
+        let since_ms = self.lacking_since_ms;
+        since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
     }
 
-    /// Whether a replica that received up to `received` proves that commits go
-    /// on: then it is the answer that was lost.
-    pub fn is_over(&self, received: Position) -> bool {
-        self.position.is_some_and(|position| received >= position)
+    /// Whether a replica is known to lack the commit.
+    pub fn is_lacking(&self) -> bool {
+        self.lacking_since_ms.is_some()
     }
 }
 
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -67,7 +67,7 @@
         }
         match usable {
             // While commits wait for a replica, more would only wait as well.
-            Some(primary) if self.stuck.is_none() => self.serve_on(&primary, acquire),
+            Some(primary) if !self.is_stuck() => self.serve_on(&primary, acquire),
             _ => self.waiting_primary.push(acquire),
         }
     }
@@ -91,6 +91,10 @@
         self.waiting_floor.push(acquire);
     }
 
+    fn is_stuck(&self) -> bool {
+        self.stuck.is_some_and(|stuck| stuck.is_lacking())
+    }
+
     fn is_cut_off(&self) -> bool {
         let now_ms = clock::boot_ms();
         let counted = self.members.values().filter(|m| !m.is_lost(now_ms));
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -17,7 +17,7 @@
 const SETTINGS: TakeoverSettings = TakeoverSettings {
     silent_ms: 250,
     failures: 2,
-    stuck_ms: 900,
+    stuck_ms: 700,
     unfinished_ms: 2_500,
     missing_ms: 1_200,
 };
@@ -35,7 +35,7 @@
     /// A statement on a member broke off or is late: ask it.
     pub(super) fn suspect(&mut self, id: &Name, is_commit: bool) {
         if is_commit && self.primary.as_ref() == Some(id) {
-            self.stuck.get_or_insert(Stuck::new(clock::boot_ms()));
+            self.stuck.get_or_insert_default();
         }
         self.want_probe(id, clock::boot_us());
     }
@@ -58,7 +58,7 @@
         let Some(stuck) = &mut self.stuck else { return };
         if self.primary.as_ref() == Some(id) {
             stuck.note_primary(report.received);
-        } else if stuck.is_over(report.received) {
+        } else if stuck.note_replica(report.received, clock::boot_ms()) {
             self.stuck = None;
         }
     }
@@ -72,9 +72,7 @@
         let held = self.members.values().filter_map(|m| m.held_since_us).min();
         let mut health = PrimaryHealth {
             held_ms: held.map_or(0, |at| now_us.saturating_sub(at) / 1_000),
-            stuck_ms: self
-                .stuck
-                .map_or(0, |stuck| now_ms.saturating_sub(stuck.since_ms)),
+            stuck_ms: self.stuck.map_or(0, |stuck| stuck.stuck_ms(now_ms)),
             missing_ms: now_ms.saturating_sub(self.missing_since_ms),
             ..PrimaryHealth::default()
         };
@@ -125,7 +123,7 @@
         let is_doubtful = !health.is_known
             || health.failures > 0
             || health.is_leaving
-            || health.stuck_ms > 0
+            || self.stuck.is_some()
             || health.held_ms > 0;
         if !is_doubtful {
             return;
