--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -1,11 +1,13 @@
 //! The task of a service: it owns the connections to its members, grants them,
 //! and knows which member leads.
 
+mod connections;
 mod grant;
+mod members;
 mod probe;
 mod watch;
 
-use std::{net::SocketAddr, rc::Rc};
+use std::rc::Rc;
 
 use futures::channel::oneshot;
 
@@ -231,89 +233,6 @@
         Duration::from_millis(wait_ms)
     }
 
-    fn change_members(&mut self, members: BTreeMap<Name, MemberEntry>, shares: Option<usize>) {
-        let now_ms = clock::boot_ms();
-        self.shares = shares.unwrap_or(UNCOUNTED_SHARES);
-        for (id, member) in &mut self.members {
-            if !members.contains_key(id) {
-                member.unlisted_since_ms.get_or_insert(now_ms);
-            }
-        }
-        for (id, entry) in members {
-            self.change_member(&id, entry);
-        }
-        let forget = |m: &Member| {
-            let since = m.unlisted_since_ms;
-            since.is_some_and(|at| now_ms >= at + watch::FORGET_MS) && m.open == 0
-        };
-        self.members.retain(|_, member| !forget(member));
-    }
-
-    fn change_member(&mut self, id: &Name, entry: MemberEntry) {
-        let distance = self.context.options.distance(&entry.zone);
-        let Some(member) = self.members.get_mut(id) else {
-            decision!(
-                "member", service = &*self.context.service, member = &**id,
-                address = entry.address.to_string(), zone = &*entry.zone,
-                role = entry.role.map(|r| r.to_string()).unwrap_or_default();
-                "member listed"
-            );
-            self.members
-                .insert(id.clone(), Member::new(entry, distance));
-            self.want_probe(id, clock::boot_us());
-            return;
-        };
-        let is_reborn =
-            member.entry.born_ms != entry.born_ms || member.entry.address != entry.address;
-        let has_new_role = member.entry.role != entry.role;
-        if member.entry.is_leaving != entry.is_leaving || is_reborn {
-            decision!(
-                "member", service = &*self.context.service, member = &**id,
-                is_leaving = entry.is_leaving, is_reborn = is_reborn; "member changed"
-            );
-        }
-        if is_reborn {
-            // It holds and knows nothing of what its connections led to.
-            member.idle.clear();
-            member.report = None;
-        }
-        member.unlisted_since_ms = None;
-        member.entry = entry;
-        if is_reborn || has_new_role {
-            self.want_probe(id, clock::boot_us());
-        }
-    }
-
-    /// Forgets members whose place has been taken: a member that crashed comes
-    /// back at its address with its log, under another id.
-    fn drop_superseded(&mut self) {
-        let heirs: BTreeMap<SocketAddr, Name> = self
-            .members
-            .iter()
-            .filter(|(_, m)| m.failures == 0 && m.report.is_some())
-            .map(|(id, m)| (m.entry.address, id.clone()))
-            .collect();
-        let is_superseded = |m: &Member| {
-            let is_absent = m.failures > 0 || m.unlisted_since_ms.is_some();
-            is_absent && heirs.contains_key(&m.entry.address)
-        };
-        let superseded = self.members.iter().filter(|(_, m)| is_superseded(m));
-        let superseded: Vec<Name> = superseded
-            .filter(|(id, m)| heirs.get(&m.entry.address) != Some(*id))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in superseded {
-            let address = self.members.get(&id).map(|m| m.entry.address);
-            let heir = address.and_then(|address| heirs.get(&address));
-            decision!(
-                "member", service = &*self.context.service, member = &*id,
-                heir = heir.map_or("", |heir| &**heir); "member superseded"
-            );
-            self.reroute(&id);
-            self.members.remove(&id);
-        }
-    }
-
     /// Takes note that all that was acknowledged before `since_ms` lies at or
     /// before `position`.
     fn observe(&mut self, since_ms: u64, position: Position, source: &'static str) {
--- /dev/null
+++ b/src/relay/service/connections.rs
@@ -0,0 +1,135 @@
+//! Connections: opened, taken back, closed.
+
+use super::*;
+use crate::relay::{MemberRequest, RelayError, Result, exchange::request, link::Link};
+
+/// Pause after a connection could not be opened, in milliseconds.
+const OPEN_PAUSE_MS: u64 = 100;
+/// Longest time to roll a transaction back before the connection is closed.
+const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl Service {
+    pub(super) fn open_if_needed(&mut self, id: &Name, limit: usize) {
+        let now_ms = clock::boot_ms();
+        let permit = self.permit(id);
+        let (Some(target), Some(member)) = (self.target(id), self.members.get_mut(id)) else {
+            return;
+        };
+        let has_room = member.window.has_room(member.running + member.opening);
+        let needs_more = member.queue.len() > member.opening && has_room;
+        if !needs_more || member.open >= limit || member.open_after_ms > now_ms {
+            // The permit counts only connections that were counted as open.
+            permit.forget();
+            return;
+        }
+        member.open += 1;
+        member.opening += 1;
+        let context = self.context.clone();
+        let codec = context.options.codecs.member;
+        compio::runtime::spawn(async move {
+            let member = target.member.clone();
+            let result = open(target, codec, permit).await;
+            context.send(ServiceMessage::Opened { member, result });
+        })
+        .detach();
+    }
+
+    /// Counts a request as running until the permit is dropped.
+    pub(super) fn count_run(&mut self, id: &Name) -> Permit {
+        if let Some(member) = self.members.get_mut(id) {
+            member.running += 1;
+        }
+        let context = self.context.clone();
+        let member = id.clone();
+        Permit::new(move || context.send(ServiceMessage::RunEnded { member }))
+    }
+
+    pub(super) fn run_ended(&mut self, id: &Name) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.running = member.running.saturating_sub(1);
+        }
+        self.serve_queue(id);
+    }
+
+    pub(super) fn limit(&self, member: &Member) -> usize {
+        let budget = member.budget(self.entry.connections_max, self.shares);
+        budget.limit(member.open)
+    }
+
+    /// Closes connections that others may need more.
+    pub(super) fn trim(&mut self, now_ms: u64) {
+        let connections_max = self.entry.connections_max;
+        for member in self.members.values_mut() {
+            let budget = member.budget(connections_max, self.shares);
+            member.trim(&budget, now_ms);
+        }
+    }
+
+    pub(super) fn release(&mut self, mut link: Link, needs_rollback: bool, read_us: Option<u64>) {
+        let id = link.member.clone();
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
+        link.run = None;
+        if let Some(read_us) = read_us {
+            member.window.done();
+            member.record_read(read_us);
+            member.queue.record(read_us);
+        }
+        if needs_rollback {
+            let context = self.context.clone();
+            compio::runtime::spawn(roll_back(context, link)).detach();
+            return;
+        }
+        if member.entry.is_leaving && self.primary.as_ref() != Some(&id) {
+            return;
+        }
+        link.idle_since_ms = clock::boot_ms();
+        member.idle.push(link);
+        self.serve_queue(&id);
+    }
+
+    pub(super) fn opened(&mut self, id: &Name, result: Result<Link>) {
+        let now_ms = clock::boot_ms();
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        member.opening = member.opening.saturating_sub(1);
+        match result {
+            Ok(mut link) => {
+                link.idle_since_ms = now_ms;
+                member.idle.push(link);
+                self.serve_queue(id);
+            }
+            Err(error) => {
+                decision!(
+                    "open", service = &*self.context.service, member = &**id,
+                    reason = error.to_string(); "connection not opened"
+                );
+                member.open_after_ms = now_ms + OPEN_PAUSE_MS;
+                // A member that is full need not be asked how it is.
+                if !matches!(error, RelayError::Refused { .. }) {
+                    self.suspect(id, false);
+                }
+            }
+        }
+    }
+}
+
+/// Ends the transaction that may be open on a connection.
+async fn roll_back(context: ServiceContext, mut link: Link) {
+    let codec = context.options.codecs.member;
+    let ended = request(&mut link, &codec, &MemberRequest::Rollback);
+    let ended = compio::time::timeout(ROLLBACK_TIMEOUT, ended).await;
+    let is_idle = matches!(
+        ended,
+        Ok(Ok(answer)) if answer.state == crate::relay::SessionState::Idle
+    );
+    if is_idle {
+        context.send(ServiceMessage::Release {
+            link,
+            needs_rollback: false,
+            read_us: None,
+        });
+    }
+}
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -1,19 +1,13 @@
-//! Connections: granted, taken back, opened.
+//! Requests for connections: routed, granted, queued, refused.
 
 use super::*;
-use crate::{
-    decide::{
-        admission::Admission,
-        age::is_floor_due,
-        dispatch::{ReadCandidate, choose_reader, is_cut_off},
-    },
-    relay::{MemberRequest, RelayError, Result, exchange::request, link::Link},
+use crate::decide::{
+    admission::Admission,
+    age::is_floor_due,
+    dispatch::{ReadCandidate, choose_reader, is_cut_off},
 };
+use crate::relay::link::Link;
 
-/// Pause after a connection could not be opened, in milliseconds.
-const OPEN_PAUSE_MS: u64 = 100;
-/// Longest time to roll a transaction back before the connection is closed.
-const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a member that lacked a position counts as behind, in milliseconds.
 const BEHIND_MS: u64 = 250;
 /// Time for which floors are refreshed more often after a member was behind,
@@ -58,12 +52,7 @@
         let primary = self.primary.clone();
         let usable = primary.filter(|p| self.answers(p));
         if self.is_cut_off() {
-            return refuse(
-                acquire,
-                ErrorClass::Busy,
-                "most members do not answer this VM",
-                CUT_OFF_RETRY_MS,
-            );
+            return refuse_cut_off(acquire);
         }
         match usable {
             // While commits wait for a replica, more would only wait as well.
@@ -81,12 +70,7 @@
 
     fn wait_for_floor(&mut self, acquire: Acquire) {
         if self.is_cut_off() {
-            return refuse(
-                acquire,
-                ErrorClass::Busy,
-                "most members do not answer this VM",
-                CUT_OFF_RETRY_MS,
-            );
+            return refuse_cut_off(acquire);
         }
         self.waiting_floor.push(acquire);
     }
@@ -165,31 +149,6 @@
         self.open_if_needed(id, limit);
     }
 
-    fn open_if_needed(&mut self, id: &Name, limit: usize) {
-        let now_ms = clock::boot_ms();
-        let permit = self.permit(id);
-        let (Some(target), Some(member)) = (self.target(id), self.members.get_mut(id)) else {
-            return;
-        };
-        let has_room = member.window.has_room(member.running + member.opening);
-        let needs_more = member.queue.len() > member.opening && has_room;
-        if !needs_more || member.open >= limit || member.open_after_ms > now_ms {
-            // The permit counts only connections that were counted as open.
-            permit.forget();
-            return;
-        }
-        member.open += 1;
-        member.opening += 1;
-        let context = self.context.clone();
-        let codec = context.options.codecs.member;
-        compio::runtime::spawn(async move {
-            let member = target.member.clone();
-            let result = open(target, codec, permit).await;
-            context.send(ServiceMessage::Opened { member, result });
-        })
-        .detach();
-    }
-
     fn grant(&mut self, id: &Name, mut link: Link, acquire: Acquire) {
         if !acquire.is_transaction {
             link.run = Some(self.count_run(id));
@@ -227,37 +186,6 @@
         metrics.floor_age_ms.record(age_ms as f64, &labels[1..]);
     }
 
-    /// Counts a request as running until the permit is dropped.
-    fn count_run(&mut self, id: &Name) -> Permit {
-        if let Some(member) = self.members.get_mut(id) {
-            member.running += 1;
-        }
-        let context = self.context.clone();
-        let member = id.clone();
-        Permit::new(move || context.send(ServiceMessage::RunEnded { member }))
-    }
-
-    pub(super) fn run_ended(&mut self, id: &Name) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.running = member.running.saturating_sub(1);
-        }
-        self.serve_queue(id);
-    }
-
-    fn limit(&self, member: &Member) -> usize {
-        let budget = member.budget(self.entry.connections_max, self.shares);
-        budget.limit(member.open)
-    }
-
-    /// Closes connections that others may need more.
-    pub(super) fn trim(&mut self, now_ms: u64) {
-        let connections_max = self.entry.connections_max;
-        for member in self.members.values_mut() {
-            let budget = member.budget(connections_max, self.shares);
-            member.trim(&budget, now_ms);
-        }
-    }
-
     pub(super) fn serve_queue(&mut self, id: &Name) {
         loop {
             let limit = self.members.get(id).map_or(0, |m| self.limit(m));
@@ -277,56 +205,6 @@
         }
     }
 
-    pub(super) fn release(&mut self, mut link: Link, needs_rollback: bool, read_us: Option<u64>) {
-        let id = link.member.clone();
-        let Some(member) = self.members.get_mut(&id) else {
-            return;
-        };
-        link.run = None;
-        if let Some(read_us) = read_us {
-            member.window.done();
-            member.record_read(read_us);
-            member.queue.record(read_us);
-        }
-        if needs_rollback {
-            let context = self.context.clone();
-            compio::runtime::spawn(roll_back(context, link)).detach();
-            return;
-        }
-        if member.entry.is_leaving && self.primary.as_ref() != Some(&id) {
-            return;
-        }
-        link.idle_since_ms = clock::boot_ms();
-        member.idle.push(link);
-        self.serve_queue(&id);
-    }
-
-    pub(super) fn opened(&mut self, id: &Name, result: Result<Link>) {
-        let now_ms = clock::boot_ms();
-        let Some(member) = self.members.get_mut(id) else {
-            return;
-        };
-        member.opening = member.opening.saturating_sub(1);
-        match result {
-            Ok(mut link) => {
-                link.idle_since_ms = now_ms;
-                member.idle.push(link);
-                self.serve_queue(id);
-            }
-            Err(error) => {
-                decision!(
-                    "open", service = &*self.context.service, member = &**id,
-                    reason = error.to_string(); "connection not opened"
-                );
-                member.open_after_ms = now_ms + OPEN_PAUSE_MS;
-                // A member that is full need not be asked how it is.
-                if !matches!(error, RelayError::Refused { .. }) {
-                    self.suspect(id, false);
-                }
-            }
-        }
-    }
-
     /// Sends what waits for a member that fails to another one.
     pub(super) fn reroute(&mut self, id: &Name) {
         let Some(member) = self.members.get_mut(id) else {
@@ -392,20 +270,11 @@
     }
 }
 
-/// Ends the transaction that may be open on a connection.
-async fn roll_back(context: ServiceContext, mut link: Link) {
-    let codec = context.options.codecs.member;
-    let ended = request(&mut link, &codec, &MemberRequest::Rollback);
-    let ended = compio::time::timeout(ROLLBACK_TIMEOUT, ended).await;
-    let is_idle = matches!(
-        ended,
-        Ok(Ok(answer)) if answer.state == crate::relay::SessionState::Idle
+fn refuse_cut_off(acquire: Acquire) {
+    refuse(
+        acquire,
+        ErrorClass::Busy,
+        "most members do not answer this VM",
+        CUT_OFF_RETRY_MS,
     );
-    if is_idle {
-        context.send(ServiceMessage::Release {
-            link,
-            needs_rollback: false,
-            read_us: None,
-        });
-    }
 }
