--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -29,12 +29,18 @@
 /// come back with its log.
 const GONE_MS: u64 = 12_000;
 
+/// Part of the time to drain that is kept back, in milliseconds: for news that
+/// come late, and for requests on their way.
+const DRAIN_MARGIN_MS: u64 = 1_500;
+
 /// A member.
 pub struct Member {
     /// Last entry in the platform's list.
     pub entry: MemberEntry,
     /// Time since which it is missing from the list, in milliseconds.
     pub unlisted_since_ms: Option<u64>,
+    /// Time since which it is leaving, in milliseconds.
+    pub leaving_since_ms: Option<u64>,
     /// Distance from this VM: 0 to 2.
     pub distance: u32,
     /// Connections that nobody uses.
@@ -77,6 +83,7 @@
         Member {
             entry,
             unlisted_since_ms: None,
+            leaving_since_ms: None,
             distance,
             idle: Vec::new(),
             open: 0,
@@ -97,6 +104,15 @@
         }
     }
 
+    /// Takes whether the list says that it is leaving.
+    pub fn note_leaving(&mut self, is_leaving: bool) {
+        let now_ms = clock::boot_ms();
+        self.leaving_since_ms = match is_leaving {
+            true => self.leaving_since_ms.or(Some(now_ms)),
+            false => None,
+        };
+    }
+
     /// Whether it may get new work.
     pub fn is_usable(&self, now_ms: u64) -> bool {
         self.failures == 0 && !self.is_going(now_ms)
@@ -108,6 +124,13 @@
         self.entry.is_leaving || since_ms.is_some_and(|at| now_ms >= at + UNLISTED_MS)
     }
 
+    /// Whether it must get no requests any longer, also as the primary.
+    pub fn is_closed(&self, drain_ms: u64, now_ms: u64) -> bool {
+        let since_ms = self.leaving_since_ms.or(self.unlisted_since_ms);
+        let limit_ms = drain_ms.saturating_sub(DRAIN_MARGIN_MS);
+        since_ms.is_some_and(|since_ms| now_ms >= since_ms + limit_ms)
+    }
+
     /// Whether it is gone for good, as far as can be told.
     pub fn is_gone(&self, now_ms: u64) -> bool {
         let since_ms = self.unlisted_since_ms;
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -64,6 +64,9 @@
     pub authority: Authority,
     /// Longest time of a graceful stop, in milliseconds.
     pub grace_ms: u64,
+    /// Time after which a member that leaves must get no requests, in
+    /// milliseconds.
+    pub drain_ms: u64,
 }
 
 impl RelayOptions {
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -210,7 +210,10 @@
         self.route_waiting();
         let members: Vec<Name> = self.members.keys().cloned().collect();
         for member in &members {
-            self.serve_queue(member);
+            match self.is_closed(member) {
+                true => self.reroute(member),
+                false => self.serve_queue(member),
+            }
         }
         self.expire(now_ms);
         self.trim(now_ms);
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -50,7 +50,7 @@
 
     fn acquire_primary(&mut self, acquire: Acquire) {
         let primary = self.primary.clone();
-        let usable = primary.filter(|p| self.answers(p));
+        let usable = primary.filter(|p| self.answers(p) && !self.is_closed(p));
         if self.is_cut_off() {
             return refuse_cut_off(acquire);
         }
@@ -75,6 +75,13 @@
         self.waiting_floor.push(acquire);
     }
 
+    pub(super) fn is_closed(&self, id: &Name) -> bool {
+        let drain_ms = self.context.options.drain_ms;
+        let now_ms = clock::boot_ms();
+        let member = self.members.get(id);
+        member.is_some_and(|m| m.is_closed(drain_ms, now_ms))
+    }
+
     fn is_stuck(&self) -> bool {
         self.stuck.is_some_and(|stuck| stuck.is_lacking())
     }
--- a/src/relay/service/members.rs
+++ b/src/relay/service/members.rs
@@ -36,8 +36,9 @@
                 role = entry.role.map(|r| r.to_string()).unwrap_or_default();
                 "member listed"
             );
-            self.members
-                .insert(id.clone(), Member::new(entry, distance));
+            let mut member = Member::new(entry, distance);
+            member.note_leaving(member.entry.is_leaving);
+            self.members.insert(id.clone(), member);
             self.want_probe(id, clock::boot_us());
             return;
         };
@@ -56,6 +57,7 @@
             member.report = None;
         }
         member.unlisted_since_ms = None;
+        member.note_leaving(entry.is_leaving);
         member.entry = entry;
         if is_reborn || has_new_role {
             self.want_probe(id, clock::boot_us());
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -69,7 +69,9 @@
             let asked_us = m.report.map(|(asked_us, _)| asked_us);
             m.failures == 0 && asked_us.is_some_and(|at| now_us < at + RECENT_US)
         };
-        let held = self.members.values().filter_map(|m| m.held_since_us).min();
+        // What a member that is lost said last holds nobody up.
+        let answering = self.members.values().filter(|m| is_recent(m));
+        let held = answering.filter_map(|m| m.held_since_us).min();
         let mut health = PrimaryHealth {
             held_ms: held.map_or(0, |at| now_us.saturating_sub(at) / 1_000),
             stuck_ms: self.stuck.map_or(0, |stuck| stuck.stuck_ms(now_ms)),
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -31,8 +31,11 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
 /// Rounds in which replicas may catch up with a primary that stepped down.
 const CATCH_UP_ROUNDS: u32 = 4;
-/// Longest time until a promoted member leads, in milliseconds.
-const LEAD_MS: u64 = 4_000;
+/// Time from the claim until which a promoted member is waited for, in milliseconds.
+const LEAD_MS: u64 = 4_800;
+/// Time from the claim until which replicas are told to receive again, in
+/// milliseconds: with the order's own time, less than the claim lasts.
+const RESUME_MS: u64 = 5_300;
 
 /// A member of the group.
 #[derive(Clone, Debug)]
@@ -65,13 +68,14 @@
     let authority = plan.context.options.authority.clone();
     let service = plan.context.service.clone();
     let claim = (authority.claim)(service.clone()).await;
-    let promoted = match &claim {
+    let end = match &claim {
         Some(claim) => attempt(&plan, claim, started_ms).await,
         None => {
             decision!("takeover", service = &*service; "claim not granted");
-            None
+            AttemptEnd::default()
         }
     };
+    let promoted = end.promoted;
     decision!(
         "takeover", service = &*service, reason = plan.reason.to_string(),
         promoted = promoted.as_deref().unwrap_or("none"),
@@ -79,12 +83,28 @@
     );
     plan.context
         .send(ServiceMessage::TakeoverEnded { promoted });
-    if let Some(claim) = claim {
+    // After an order the claim stays until it ends: another VM must not order
+    // anything soon after.
+    if let Some(claim) = claim.filter(|_| !end.has_ordered) {
         (authority.release)(service, claim).await;
     }
 }
 
-async fn attempt(plan: &TakeoverPlan, claim: &Claim, started_ms: u64) -> Option<Name> {
+/// How an attempt ended.
+#[derive(Default)]
+struct AttemptEnd {
+    promoted: Option<Name>,
+    /// Whether a promotion was ordered.
+    has_ordered: bool,
+}
+
+async fn attempt(plan: &TakeoverPlan, claim: &Claim, started_ms: u64) -> AttemptEnd {
+    let mut end = AttemptEnd::default();
+    if plan.reason == Reason::Unfinished {
+        // The primary is well: its replicas only have to receive again.
+        resume(plan, started_ms).await;
+        return end;
+    }
     let mut fenced = BTreeMap::new();
     let mut refused = BTreeSet::new();
     let mut round = 0;
@@ -111,11 +131,12 @@
         if clock::boot_ms() >= started_ms + ATTEMPT_MS {
             break;
         }
+        end.has_ordered = true;
         match promote(plan, claim, &member).await {
             PromoteOutcome::Accepted => {
-                await_lead(plan, &member).await;
-                resume(plan, &fenced).await;
-                return Some(member);
+                await_lead(plan, &member, started_ms).await;
+                end.promoted = Some(member);
+                break;
             }
             PromoteOutcome::Refused => {
                 refused.insert(member);
@@ -124,8 +145,8 @@
             PromoteOutcome::Unknown => {}
         }
     }
-    resume(plan, &fenced).await;
-    None
+    resume(plan, started_ms).await;
+    end
 }
 
 impl TakeoverPlan {
@@ -257,11 +278,10 @@
 }
 
 /// Waits until the member leads, as it says itself.
-async fn await_lead(plan: &TakeoverPlan, member: &Name) {
-    let deadline_ms = clock::boot_ms() + LEAD_MS;
+async fn await_lead(plan: &TakeoverPlan, member: &Name, started_ms: u64) {
     let rival = plan.rivals.iter().find(|r| r.target.member == *member);
     let Some(rival) = rival else { return };
-    while clock::boot_ms() < deadline_ms {
+    while clock::boot_ms() < started_ms + LEAD_MS {
         let report = order_member(plan, &rival.target, &MemberRequest::Status).await;
         if report.is_ok_and(|r| r.role == Role::Primary) {
             return;
@@ -271,10 +291,14 @@
     }
 }
 
-/// Lets the members receive again that still do not.
-async fn resume(plan: &TakeoverPlan, fenced: &BTreeMap<Name, Fenced>) {
-    let held = plan.rivals.iter().filter(|r| !r.is_primary);
-    let held = held.filter(|r| fenced.contains_key(&r.target.member));
+/// Lets the replicas receive again. Once the claim is about to end that is left
+/// to the next attempt, which may have told them to stop.
+async fn resume(plan: &TakeoverPlan, started_ms: u64) {
+    if clock::boot_ms() >= started_ms + RESUME_MS {
+        decision!("takeover", service = &*plan.context.service; "replicas left held");
+        return;
+    }
+    let held = plan.rivals.iter().filter(|r| !r.is_primary && !r.is_gone);
     let orders = held.map(|r| async move {
         let result = order_member(plan, &r.target, &MemberRequest::Resume).await;
         if let Err(error) = result {
