Say each thing once: HTTP calls, quiet sockets, settings files, proofs, permits

Found by reading the whole change; behaviour and assertions stay. - Three clients sent, timed and read HTTP calls on their own: src/http.rs. - Two copies of the look at a quiet socket, two readers of a settings file. - Whether a report proves that a member leads was decided in two places. - Permits were made first and taken back when not needed; they are now made where the connection is counted, and forget() is gone. One early return had dropped a permit that was never counted. - The service's task built a map of members, and budgets, at each message also when nobody was missing and nothing was idle. - Dead: a setting of the relay, a parameter of stop, parts of the test group.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod decide;
 pub mod decision_log;
+pub mod http;
 pub mod logging;
 pub mod lsn;
 pub mod metrics;
--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -33,11 +33,6 @@
     pub fn new(give_back: impl FnOnce() + 'static) -> Permit {
         Permit(Some(Box::new(give_back)))
     }
-
-    /// Drops the permit without giving anything back.
-    pub fn forget(mut self) {
-        self.0 = None;
-    }
 }
 
 impl Drop for Permit {
--- a/src/proxy/wire.rs
+++ b/src/proxy/wire.rs
@@ -33,6 +33,15 @@
     is_bulky: bool,
 }
 
+/// Whether a socket is open and nothing waits to be read.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    match socket2::SockRef::from(stream).peek(&mut byte) {
+        Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+        Ok(_) => false,
+    }
+}
+
 impl Wire {
     /// Wraps a socket that accepts messages up to `frame_max` bytes.
     pub fn new(stream: TcpStream, frame_max: usize) -> Wire {
@@ -64,13 +73,7 @@
     /// Whether the other side has closed the connection or sent anything
     /// that nobody asked for.
     pub fn is_stale(&self) -> bool {
-        let mut byte = [std::mem::MaybeUninit::uninit()];
-        let socket = socket2::SockRef::from(&self.stream);
-        let is_quiet = match socket.peek(&mut byte) {
-            Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
-            Ok(_) => false,
-        };
-        !is_quiet || !self.input.is_empty()
+        !is_quiet(&self.stream) || !self.input.is_empty()
     }
 
     /// Reads more bytes.
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -83,3 +83,11 @@
     /// Connections that are open to it, from all VMs.
     pub connections: usize,
 }
+
+impl StatusReport {
+    /// Whether it proves that the member leads, where enough of the others
+    /// stand by no term above `others_term`.
+    pub fn leads_against(&self, others_term: u64) -> bool {
+        self.role == Role::Primary && others_term <= self.term
+    }
+}
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -8,7 +8,12 @@
 use compio::net::TcpListener;
 use tokio::sync::watch;
 
-use super::{Catalog, RelayOptions, Roster, Route, message::ServiceMessage, service, session};
+use super::{
+    Catalog, RelayOptions, Roster, Route,
+    message::ServiceMessage,
+    service,
+    session::{self, STOP_LINGER_MS},
+};
 use crate::{
     clock, decide::dispatch::shares, decision_log::decision, metrics::Metrics, prelude::*,
 };
@@ -210,7 +215,7 @@
 
     /// Stops: answers what runs, ends sessions between requests. Returns once
     /// all have ended or the grace is over.
-    pub async fn stop(&self, linger_ms: u64) {
+    pub async fn stop(&self) {
         let since_ms = clock::boot_ms();
         let end_ms = since_ms + self.shared.options.grace_ms.saturating_sub(STOP_RESERVE_MS);
         log::info!(
@@ -219,7 +224,7 @@
         self.stop.send_replace(Some(since_ms));
         self.note_ready();
         while clock::boot_ms() < end_ms {
-            let is_lingering = clock::boot_ms() < since_ms + linger_ms;
+            let is_lingering = clock::boot_ms() < since_ms + STOP_LINGER_MS;
             if !is_lingering && self.shared.sessions.get() == 0 {
                 break;
             }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -32,5 +32,4 @@
 pub use options::{Authority, Claim, PromoteOutcome, Promotion, RelayOptions};
 pub use prepared::Shape;
 pub use roster::{MemberEntry, Roster};
-pub use session::STOP_LINGER_MS;
 pub use statement::{Access, Statement, StatementKind};
--- a/src/relay/roster.rs
+++ b/src/relay/roster.rs
@@ -21,7 +21,7 @@
     pub born_ms: Option<u64>,
 }
 
-/// All members by id, with the number of VMs that share them.
+/// All members by id.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Roster {
     /// Members by id.
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -246,8 +246,7 @@
         self.ages.observe(since_ms, position);
     }
 
-    /// Member that leads in the highest term, by reports; before the first
-    /// report of a leader, by the platform's list.
+    /// Member that leads in the highest term that any has reported.
     fn find_primary(&self) -> Option<Name> {
         let led = self.members.iter();
         let leader = led
@@ -291,12 +290,6 @@
             address: entry.address,
         })
     }
-
-    fn permit(&self, member: &Name) -> Permit {
-        let context = self.context.clone();
-        let member = member.clone();
-        Permit::new(move || context.send(ServiceMessage::Dropped { member }))
-    }
 }
 
 fn refuse(acquire: Acquire, class: ErrorClass, text: &'static str, retry_after_ms: u64) {
--- a/src/relay/service/connections.rs
+++ b/src/relay/service/connections.rs
@@ -11,19 +11,16 @@
 impl Service {
     pub(super) fn open_if_needed(&mut self, id: &Name, limit: usize) {
         let now_ms = clock::boot_ms();
-        let permit = self.permit(id);
         let (Some(target), Some(member)) = (self.target(id), self.members.get_mut(id)) else {
             return;
         };
         let has_room = member.window.has_room(member.running + member.opening);
         let needs_more = member.queue.len() > member.opening && has_room;
         if !needs_more || member.open >= limit || member.open_after_ms > now_ms {
-            // The permit counts only connections that were counted as open.
-            permit.forget();
             return;
         }
-        member.open += 1;
         member.opening += 1;
+        let permit = self.count_open(id);
         let context = self.context.clone();
         let codec = context.options.codecs.member;
         compio::runtime::spawn(async move {
@@ -34,6 +31,16 @@
         .detach();
     }
 
+    /// Counts a connection as open until the permit is dropped.
+    pub(super) fn count_open(&mut self, id: &Name) -> Permit {
+        if let Some(member) = self.members.get_mut(id) {
+            member.open += 1;
+        }
+        let context = self.context.clone();
+        let member = id.clone();
+        Permit::new(move || context.send(ServiceMessage::Dropped { member }))
+    }
+
     /// Counts a request as running until the permit is dropped.
     pub(super) fn count_run(&mut self, id: &Name) -> Permit {
         if let Some(member) = self.members.get_mut(id) {
@@ -59,7 +66,7 @@
     /// Closes connections that others may need more.
     pub(super) fn trim(&mut self, now_ms: u64) {
         let connections_max = self.entry.connections_max;
-        for member in self.members.values_mut() {
+        for member in self.members.values_mut().filter(|m| !m.idle.is_empty()) {
             let budget = member.budget(connections_max, self.shares);
             member.trim(&budget, now_ms);
         }
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -195,7 +195,6 @@
 
     pub(super) fn serve_queue(&mut self, id: &Name) {
         loop {
-            let limit = self.members.get(id).map_or(0, |m| self.limit(m));
             let Some(member) = self.members.get_mut(id) else {
                 return;
             };
@@ -203,6 +202,7 @@
                 return;
             }
             let Some(link) = member.take_idle(&Values::new()) else {
+                let limit = self.members.get(id).map_or(0, |m| self.limit(m));
                 return self.open_if_needed(id, limit);
             };
             let Some(acquire) = member.queue.pop() else {
--- a/src/relay/service/members.rs
+++ b/src/relay/service/members.rs
@@ -67,27 +67,26 @@
     /// Forgets members whose place has been taken: a member that crashed comes
     /// back at its address with its log, under another id.
     pub(super) fn drop_superseded(&mut self) {
+        let is_absent = |m: &Member| m.failures > 0 || m.unlisted_since_ms.is_some();
+        if !self.members.values().any(is_absent) {
+            return;
+        }
         let heirs: BTreeMap<SocketAddr, Name> = self
             .members
             .iter()
             .filter(|(_, m)| m.failures == 0 && m.report.is_some())
             .map(|(id, m)| (m.entry.address, id.clone()))
             .collect();
-        let is_superseded = |m: &Member| {
-            let is_absent = m.failures > 0 || m.unlisted_since_ms.is_some();
-            is_absent && heirs.contains_key(&m.entry.address)
-        };
-        let superseded = self.members.iter().filter(|(_, m)| is_superseded(m));
-        let superseded: Vec<Name> = superseded
-            .filter(|(id, m)| heirs.get(&m.entry.address) != Some(*id))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in superseded {
-            let address = self.members.get(&id).map(|m| m.entry.address);
-            let heir = address.and_then(|address| heirs.get(&address));
+        let absent = self.members.iter().filter(|(_, m)| is_absent(m));
+        let superseded = absent.filter_map(|(id, m)| {
+            let heir = heirs.get(&m.entry.address).filter(|heir| *heir != id)?;
+            Some((id.clone(), heir.clone()))
+        });
+        let superseded: Vec<(Name, Name)> = superseded.collect();
+        for (id, heir) in superseded {
             decision!(
-                "member", service = &*self.context.service, member = &*id,
-                heir = heir.map_or("", |heir| &**heir); "member superseded"
+                "member", service = &*self.context.service, member = &*id, heir = &*heir;
+                "member superseded"
             );
             self.reroute(&id);
             self.members.remove(&id);
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -28,6 +28,15 @@
         }
     }
 
+    /// Asks all members for a report from now on.
+    pub(super) fn want_all_probes(&mut self) {
+        let now_us = clock::boot_us();
+        let members: Vec<Name> = self.members.keys().cloned().collect();
+        for id in members {
+            self.want_probe(&id, now_us);
+        }
+    }
+
     pub(super) fn start_probes(&mut self, now_ms: u64) {
         let due: Vec<Name> = self
             .members
@@ -45,9 +54,7 @@
         let Some(target) = self.target(id) else {
             return;
         };
-        let permit = self.permit(id);
         let Some(member) = self.members.get_mut(id) else {
-            permit.forget();
             return;
         };
         let asked_us = clock::boot_us();
@@ -60,14 +67,8 @@
             _ => None,
         };
         let way = match idle {
-            Some(link) => {
-                permit.forget();
-                Way::Open(Box::new(link))
-            }
-            None => {
-                member.open += 1;
-                Way::New(target, permit)
-            }
+            Some(link) => Way::Open(Box::new(link)),
+            None => Way::New(target, self.count_open(id)),
         };
         let context = self.context.clone();
         let member = id.clone();
@@ -214,16 +215,14 @@
             return;
         };
         let primary = self.primary.clone();
-        let proved = primary
-            .as_ref()
-            .and_then(|primary| self.proved_position(primary, since_us));
-        if let Some(position) = proved {
-            self.observe(since_us / 1_000, position, "primary");
-            self.refresh_since_us = None;
-            return;
-        }
-        if let Some(position) = self.received_by_others(since_us) {
-            self.observe(since_us / 1_000, position, "replicas");
+        let proved = primary.as_ref();
+        let proved = proved.and_then(|primary| self.proved_position(primary, since_us));
+        let found = match proved {
+            Some(position) => Some((position, "primary")),
+            None => self.received_by_others(since_us).map(|p| (p, "replicas")),
+        };
+        if let Some((position, source)) = found {
+            self.observe(since_us / 1_000, position, source);
             self.refresh_since_us = None;
             return;
         }
@@ -265,7 +264,7 @@
         let Standing::Proved { term } = self.standing(primary, since_us) else {
             return None;
         };
-        let leads = report.role == Role::Primary && asked_us > since_us && term <= report.term;
+        let leads = asked_us > since_us && report.leads_against(term);
         leads.then_some(report.received)
     }
 }
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -46,11 +46,7 @@
         {
             report.role = Role::Replica;
         }
-        let now_us = clock::boot_us();
-        let members: Vec<Name> = self.members.keys().cloned().collect();
-        for id in members {
-            self.want_probe(&id, now_us);
-        }
+        self.want_all_probes();
     }
 
     /// Compares the reports with the commit that waits.
@@ -180,13 +176,9 @@
             until_ms: now_ms + PAUSE_MS,
         };
         self.stuck = None;
-        let now_us = clock::boot_us();
-        let members: Vec<Name> = match promoted {
-            Some(id) => vec![id],
-            None => self.members.keys().cloned().collect(),
-        };
-        for id in members {
-            self.want_probe(&id, now_us);
+        match promoted {
+            Some(id) => self.want_probe(&id, clock::boot_us()),
+            None => self.want_all_probes(),
         }
     }
 }
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -5,13 +5,10 @@
 use futures::channel::oneshot;
 
 use super::*;
-use crate::{
-    decide::member::Role,
-    relay::{
-        Access, Consistency, MemberCodec, MemberRequest, StatusReport, exchange,
-        link::Link,
-        message::{Acquire, Freshness, Granted, Refused, ServiceMessage, Want},
-    },
+use crate::relay::{
+    Access, Consistency, MemberCodec, MemberRequest, StatusReport, exchange,
+    link::Link,
+    message::{Acquire, Freshness, Granted, Refused, ServiceMessage, Want},
 };
 
 /// Time after which a member that has not answered is asked how it is: over
@@ -267,12 +264,6 @@
     )
 }
 
-/// Whether a report and the others' terms prove that the member led when the
-/// read ran.
-pub(super) fn is_proved(report: &StatusReport, others_term: Option<u64>) -> bool {
-    report.role == Role::Primary && others_term.is_some_and(|term| term <= report.term)
-}
-
 /// The reply to a request that was refused.
 pub(super) fn refused(refused: Refused) -> Reply {
     let text = format!(
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -1,13 +1,13 @@
 //! Statements outside transactions.
 
 use super::{
-    attempt::{Call, Outcome, is_not_run, is_proved, is_write, refused, run},
+    attempt::{Call, Outcome, is_not_run, is_write, refused, run},
     *,
 };
 use crate::{
     decide::retry::Backoff,
     relay::{
-        Consistency,
+        Consistency, StatusReport,
         message::{Granted, ServiceMessage, Want},
     },
 };
@@ -155,7 +155,8 @@
         self.give_back(service, link, false, Some(read_us));
         if let Some(proof) = proof {
             let others_term = proof.await.ok().flatten();
-            let Some(report) = report.filter(|r| is_proved(r, others_term)) else {
+            let leads = |r: &StatusReport| others_term.is_some_and(|term| r.leads_against(term));
+            let Some(report) = report.filter(leads) else {
                 return Step::again("the primary is not proved to lead");
             };
             let since_ms = alone.arrived_us / 1_000;
--- a/src/relay/socket.rs
+++ b/src/relay/socket.rs
@@ -8,6 +8,7 @@
 };
 
 use super::{RelayError, Result};
+use crate::proxy::wire::is_quiet;
 
 /// Bytes reserved before a read: most requests and answers fit.
 const READ_BYTES: usize = 2 << 10;
@@ -66,13 +67,7 @@
 
     /// Whether the other side closed the connection or sent what nobody asked for.
     pub fn is_stale(&self) -> bool {
-        let mut byte = [std::mem::MaybeUninit::uninit()];
-        let socket = socket2::SockRef::from(&self.stream);
-        let is_quiet = match socket.peek(&mut byte) {
-            Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
-            Ok(_) => false,
-        };
-        !is_quiet || !self.input.is_empty()
+        !is_quiet(&self.stream) || !self.input.is_empty()
     }
 }
 
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -33,7 +33,12 @@
     SiteSettings::build(&part)
 }
 
-fn read<T>(path: &Path) -> Result<T>
+/// Reads and checks one file.
+///
+/// # Errors
+///
+/// Returns an error with file, line and column, or with the key at fault.
+pub fn read<T>(path: &Path) -> Result<T>
 where
     T: DeserializeOwned + Validate,
     T::Context: Default,
@@ -42,8 +47,21 @@
         path: path.into(),
         source,
     })?;
-    serde_saphyr::from_str_valid(&text).map_err(|error| SettingsError::Invalid {
+    parse(&text).map_err(|text| SettingsError::Invalid {
         path: path.into(),
-        text: error.to_string(),
+        text,
     })
 }
+
+/// Parses and checks a text; the error names the line or key at fault.
+///
+/// # Errors
+///
+/// Returns the text of the first fault.
+pub fn parse<T>(text: &str) -> std::result::Result<T, String>
+where
+    T: DeserializeOwned + Validate,
+    T::Context: Default,
+{
+    serde_saphyr::from_str_valid(text).map_err(|error| error.to_string())
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,7 +10,7 @@
 mod vm;
 
 pub use error::{Result, SettingsError};
-pub use file::{read_site, read_vm};
+pub use file::{parse, read, read_site, read_vm};
 pub use member::{MemberPart, MemberSettings};
 pub use service::{ServicePart, ServiceSettings};
 pub use site::{SitePart, SiteSettings};
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -5,7 +5,10 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::{ListedVm, Result, Row, StoreError, Written};
-use crate::prelude::*;
+use crate::{
+    http::{self, HttpAnswer},
+    prelude::*,
+};
 
 /// Longest time of one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -32,11 +35,6 @@
     change_id: &'a str,
 }
 
-struct Answer {
-    status: u16,
-    body: bytes::Bytes,
-}
-
 impl StoreClient {
     /// Creates a client of the platform at `address`.
     ///
@@ -59,7 +57,7 @@
         let answer = self.get(&format!("table/{key}")).await?;
         match answer.status {
             NOT_FOUND => Ok(None),
-            _ => answer.json().map(Some),
+            _ => json(&answer).map(Some),
         }
     }
 
@@ -69,7 +67,7 @@
     ///
     /// Returns an error when the platform does not answer.
     pub async fn list<T: DeserializeOwned>(&self, prefix: &str) -> Result<BTreeMap<Name, Row<T>>> {
-        self.get(&format!("tables?prefix={prefix}")).await?.json()
+        json(&self.get(&format!("tables?prefix={prefix}")).await?)
     }
 
     /// Writes a row if it still has `expect_version`; zero means no row.
@@ -94,9 +92,9 @@
         let body = serde_json::to_vec(&body).map_err(bad_answer)?;
         let error = match self.put(&format!("table/{key}"), body).await {
             Ok(answer) if answer.status == CONFLICT => {
-                return Ok(Written::Conflict(answer.json()?));
+                return Ok(Written::Conflict(json(&answer)?));
             }
-            Ok(answer) => return Ok(Written::Done(answer.json::<Row<T>>()?.version)),
+            Ok(answer) => return Ok(Written::Done(json::<Row<T>>(&answer)?.version)),
             Err(error) => error,
         };
         self.resolve(key, expect_version, change_id, &error).await
@@ -128,7 +126,7 @@
     ///
     /// Returns an error when the platform does not answer.
     pub async fn list_vms(&self) -> Result<Vec<ListedVm>> {
-        self.get("vms").await?.json()
+        json(&self.get("vms").await?)
     }
 
     async fn resolve<T: DeserializeOwned>(
@@ -159,13 +157,13 @@
         })
     }
 
-    async fn get(&self, path: &str) -> Result<Answer> {
+    async fn get(&self, path: &str) -> Result<HttpAnswer> {
         let url = format!("{}/{path}", self.base);
         let request = self.http.get(url).map_err(StoreError::unavailable)?;
         self.send(request).await
     }
 
-    async fn put(&self, path: &str, body: Vec<u8>) -> Result<Answer> {
+    async fn put(&self, path: &str, body: Vec<u8>) -> Result<HttpAnswer> {
         let url = format!("{}/{path}", self.base);
         let request = self.http.put(url).map_err(StoreError::unavailable)?;
         let request = request
@@ -174,17 +172,9 @@
         self.send(request.body(body)).await
     }
 
-    async fn send(&self, request: cyper::RequestBuilder) -> Result<Answer> {
-        let call = async {
-            let response = request.send().await?;
-            let status = response.status().as_u16();
-            let body = response.bytes().await?;
-            Ok::<_, cyper::Error>(Answer { status, body })
-        };
-        let answer = compio::time::timeout(CALL_TIMEOUT, call)
-            .await
-            .map_err(|_| StoreError::unavailable("no answer in time"))?
-            .map_err(StoreError::unavailable)?;
+    async fn send(&self, request: cyper::RequestBuilder) -> Result<HttpAnswer> {
+        let answer = http::send(request, CALL_TIMEOUT).await;
+        let answer = answer.map_err(StoreError::unavailable)?;
         match answer.status {
             OK | NOT_FOUND | CONFLICT => Ok(answer),
             status => Err(StoreError::unavailable(format!("status {status}"))),
@@ -192,10 +182,8 @@
     }
 }
 
-impl Answer {
-    fn json<T: DeserializeOwned>(&self) -> Result<T> {
-        serde_json::from_slice(&self.body).map_err(bad_answer)
-    }
+fn json<T: DeserializeOwned>(answer: &HttpAnswer) -> Result<T> {
+    serde_json::from_slice(&answer.body).map_err(bad_answer)
 }
 
 fn bad_answer(error: serde_json::Error) -> StoreError {
