--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -86,8 +86,7 @@
 impl ConnectionBudget {
     /// Connections that this VM may hold whatever the others do.
     pub fn fair(&self) -> usize {
-        let dealt = (self.connections_max as f64 * FAIR_SHARE) as usize;
-        (dealt / self.shares.max(1)).max(1)
+        (dealt(self.connections_max) / self.shares.max(1)).max(1)
     }
 
     /// Whether the member reported that there is room for more.
@@ -120,10 +119,19 @@
     }
 }
 
+/// Connections to a member that are dealt out evenly.
+fn dealt(connections_max: usize) -> usize {
+    (connections_max as f64 * FAIR_SHARE) as usize
+}
+
+/// The part of them that a zone gets: callers come to the VMs of their own
+/// zone, so the zones share first.
+pub fn dealt_to_zone(connections_max: usize, zones: usize) -> usize {
+    dealt(connections_max) / zones.max(1)
+}
+
 /// Equal shares that the connections to a member are dealt out in, as seen
-/// from a zone: callers come to the VMs of their own zone, so the zones share
-/// first, then the VMs of each.
-pub fn shares(vms_by_zone: &BTreeMap<Name, usize>, zone: &Name) -> usize {
-    let own = vms_by_zone.get(zone).copied().unwrap_or(0).max(1);
-    vms_by_zone.len().max(1) * own
+/// from a zone in which `holders` VMs hold connections.
+pub fn shares(zones: usize, holders: usize) -> usize {
+    zones.max(1) * holders.max(1)
 }
--- /dev/null
+++ b/src/decide/holders.rs
@@ -0,0 +1,124 @@
+//! Which VMs hold connections to a member, and the ways by which others reach it.
+//!
+//! Connections to a member are few, VMs may be many. Where each VM of a zone
+//! can have one of its own, all do; otherwise a few of them hold all of the
+//! zone's connections and the others send their statements through those.
+
+use std::cmp::Ordering;
+
+use super::{dispatch::dealt_to_zone, placement::score};
+use crate::prelude::*;
+
+/// Fewest connections that a holder has: enough for a member's slots and a
+/// transaction that pauses.
+const HOLDER_CONNECTIONS: usize = 4;
+/// Ways through other VMs that are kept besides the first choice.
+const SPARE_WAYS: usize = 4;
+/// Index of the score that chooses holders, among those of a key.
+const AS_HOLDER: usize = 0;
+/// Index of the score that chooses ways for one VM.
+const AS_WAY: usize = 1;
+
+/// A VM that may hold connections.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VmPlace {
+    /// Availability zone.
+    pub zone: Name,
+    /// Its power, relative to that of others.
+    pub weight: f64,
+}
+
+/// How a VM reaches a member.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Way {
+    /// On connections of its own.
+    Direct,
+    /// Through another VM.
+    Through(Name),
+}
+
+impl Way {
+    /// Name of the VM that it leads through, for logs.
+    pub fn through(&self) -> &str {
+        match self {
+            Way::Direct => "none",
+            Way::Through(vm) => vm,
+        }
+    }
+}
+
+/// Chooses the VMs of a zone that hold connections to a member; `None` if each
+/// VM of the zone may.
+///
+/// Weighted rendezvous hashing: a VM is chosen in proportion to its weight, and
+/// one that joins or leaves moves only what it holds.
+pub fn holders(
+    member: &str,
+    connections_max: usize,
+    vms: &BTreeMap<Name, VmPlace>,
+    zone: &Name,
+) -> Option<Vec<Name>> {
+    let zones: BTreeSet<&Name> = vms.values().map(|vm| &vm.zone).collect();
+    let dealt = dealt_to_zone(connections_max, zones.len());
+    let in_zone: Vec<(&Name, &VmPlace)> = vms.iter().filter(|(_, vm)| vm.zone == *zone).collect();
+    if in_zone.len() <= dealt.max(1) {
+        return None;
+    }
+    let count = (dealt / HOLDER_CONNECTIONS).max(1);
+    Some(ranked(member, AS_HOLDER, in_zone, count))
+}
+
+/// Ways by which the VM `own` reaches a member, best first.
+///
+/// A holder goes itself, and through others while it is cut off from the
+/// member. Any other VM goes through holders of its zone, then of other zones,
+/// and itself only when none of them answers.
+pub fn ways(
+    own: &Name,
+    member: &str,
+    connections_max: usize,
+    vms: &BTreeMap<Name, VmPlace>,
+) -> Vec<Way> {
+    let Some(place) = vms.get(own) else {
+        return vec![Way::Direct];
+    };
+    // Each VM ranks the others differently, so that the load spreads.
+    let key = format!("{own}/{member}");
+    let holders_in = |zone: &Name| -> Vec<(&Name, &VmPlace)> {
+        let chosen = holders(member, connections_max, vms, zone);
+        let in_zone = vms.iter().filter(|(vm, p)| p.zone == *zone && *vm != own);
+        let holds = |vm: &Name| chosen.as_ref().is_none_or(|chosen| chosen.contains(vm));
+        in_zone.filter(|(vm, _)| holds(vm)).collect()
+    };
+    let own_holders = holders(member, connections_max, vms, &place.zone);
+    let is_holder = own_holders.is_none_or(|chosen| chosen.contains(own));
+    let zones: BTreeSet<&Name> = vms.values().map(|vm| &vm.zone).collect();
+    let others = zones.into_iter().filter(|zone| **zone != place.zone);
+    let far: Vec<(&Name, &VmPlace)> = others.flat_map(holders_in).collect();
+    let near = ranked(&key, AS_WAY, holders_in(&place.zone), SPARE_WAYS / 2);
+    let far = ranked(&key, AS_WAY, far, SPARE_WAYS - near.len());
+    let through = near.into_iter().chain(far).map(Way::Through);
+    match is_holder {
+        true => std::iter::once(Way::Direct).chain(through).collect(),
+        false => through.chain(std::iter::once(Way::Direct)).collect(),
+    }
+}
+
+/// The first `count` VMs by weighted rendezvous hashing.
+fn ranked(key: &str, index: usize, vms: Vec<(&Name, &VmPlace)>, count: usize) -> Vec<Name> {
+    let mut scored: Vec<(f64, &Name)> = vms
+        .into_iter()
+        .map(|(vm, place)| (weighted_score(key, index, vm, place.weight), vm))
+        .collect();
+    scored.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(Ordering::Equal));
+    let first = scored.into_iter().take(count);
+    first.map(|(_, vm)| vm.clone()).collect()
+}
+
+/// Score whose maximum falls on a VM with a probability in proportion to its weight.
+fn weighted_score(key: &str, index: usize, vm: &str, weight: f64) -> f64 {
+    let hash = score(key, index, vm) as f64;
+    let unit = hash / u64::MAX as f64;
+    let unit = unit.clamp(f64::MIN_POSITIVE, 1.0 - f64::EPSILON);
+    -weight.max(f64::MIN_POSITIVE) / unit.ln()
+}
--- a/src/decide/member.rs
+++ b/src/decide/member.rs
@@ -6,7 +6,16 @@
 
 /// Role that a member reports.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    strum::Display,
+    strum::EnumString,
+    strum::IntoStaticStr,
+    Serialize,
+    Deserialize,
 )]
 #[strum(serialize_all = "snake_case")]
 #[serde(rename_all = "snake_case")]
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub mod classify;
 pub mod dispatch;
 pub mod failover;
+pub mod holders;
 pub mod member;
 pub mod membership;
 pub mod placement;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -46,6 +46,8 @@
     pub statements: Counter<u64>,
     /// Time from a statement to its answer, in milliseconds, by kind.
     pub statement_ms: Histogram<f64>,
+    /// Statements that another VM sent through this one, by outcome.
+    pub forwarded: Counter<u64>,
     /// Age of the floor that a read was granted with, in milliseconds.
     pub floor_age_ms: Histogram<f64>,
     /// Bytes of calls between VMs, by direction.
@@ -85,6 +87,7 @@
             promotions: counter("foxtailknot_promotions"),
             statements: counter("foxtailknot_statements"),
             statement_ms: meter.f64_histogram("foxtailknot_statement_ms").build(),
+            forwarded: counter("foxtailknot_forwarded"),
             floor_age_ms: meter.f64_histogram("foxtailknot_floor_age_ms").build(),
             peer_bytes: counter("foxtailknot_peer_bytes"),
             _provider: provider,
--- a/src/relay/codec.rs
+++ b/src/relay/codec.rs
@@ -117,11 +117,67 @@
     pub report: fn(&Bytes) -> Result<StatusReport>,
 }
 
-/// Both codecs.
+/// A message of another VM to this one, which stands for a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ForwardMessage {
+    /// Opens a connection to a member.
+    Open {
+        /// Name of the service.
+        service: Name,
+        /// Id of the member.
+        member: Name,
+    },
+    /// Sets a value of the session.
+    Set {
+        /// Name.
+        name: Bytes,
+        /// Value.
+        value: Bytes,
+    },
+    /// Prepares a statement.
+    Prepare(Shape),
+    /// Forgets values and prepared statements.
+    Reset,
+    /// Asks for a report of the member.
+    Status,
+    /// Begins a transaction.
+    Begin {
+        /// Position that the member's log must hold.
+        after: Option<Position>,
+        /// Whether it may only read.
+        is_read_only: bool,
+    },
+    /// Rolls a transaction back.
+    Rollback,
+    /// Runs a statement of a caller. A prepared one has the name that it was
+    /// prepared under here.
+    Run {
+        /// The statement.
+        statement: Statement,
+        /// Position that the member's log must hold.
+        after: Option<Position>,
+    },
+    /// Closes the connection.
+    Close,
+}
+
+/// How other VMs are spoken to that send statements through this one. Answers
+/// are written as those to callers.
+#[derive(Clone, Copy)]
+pub struct ForwardCodec {
+    /// Takes the next message out of the input; `None` when it is not whole.
+    pub decode: fn(&mut BytesMut) -> Result<Option<ForwardMessage>>,
+    /// Writes a report.
+    pub report: fn(&mut BytesMut, &StatusReport),
+}
+
+/// All codecs.
 #[derive(Clone, Copy)]
 pub struct Codecs {
     /// Towards callers.
     pub caller: CallerCodec,
     /// Towards members.
     pub member: MemberCodec,
+    /// Towards other VMs that send statements through this one.
+    pub forward: ForwardCodec,
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -3,10 +3,11 @@
 use bytes::BytesMut;
 
 use super::{
-    Answer, MemberCodec, MemberRequest, RelayError, Result, StatusReport,
+    Answer, MemberCodec, MemberRequest, RelayError, Result, Statement, StatementKind, StatusReport,
     link::{Link, Values},
     prepared::Shape,
 };
+use crate::prelude::*;
 
 /// Writes what gives a connection the session values of a caller and the
 /// prepared statement it is about to run. Returns how many answers that adds.
@@ -106,3 +107,83 @@
     }
     (codec.report)(&answer.body)
 }
+
+/// A statement on its way to a member.
+pub struct Call<'a> {
+    pub statement: &'a Statement,
+    pub shape: Option<&'a Shape>,
+    pub after: Option<Position>,
+    /// Whether the member is asked for a report right after it.
+    pub wants_report: bool,
+}
+
+/// What an attempt brought.
+pub struct Outcome {
+    pub answer: Answer,
+    pub report: Option<StatusReport>,
+}
+
+/// Sends a statement with what it needs of the session, and reads the answer.
+pub async fn run(
+    link: &mut Link,
+    codec: &MemberCodec,
+    values: &Values,
+    call: &Call<'_>,
+) -> Result<Outcome> {
+    let mut output = BytesMut::new();
+    let skipped = put_session(&mut output, codec, link, values, call.shape);
+    let statement = call.statement;
+    match (&statement.kind, call.shape) {
+        (StatementKind::Execute { arguments, .. }, Some(shape)) => (codec.encode)(
+            &mut output,
+            &MemberRequest::Execute {
+                id: &statement.id,
+                after: call.after,
+                name: &shape.name,
+                arguments,
+            },
+        ),
+        _ => (codec.encode)(
+            &mut output,
+            &MemberRequest::Caller {
+                id: &statement.id,
+                after: call.after,
+                text: &statement.text,
+            },
+        ),
+    }
+    if call.wants_report {
+        (codec.encode)(&mut output, &MemberRequest::Status);
+    }
+    link.socket.write(output).await?;
+    skip_answers(link, codec, skipped).await?;
+    let answer = read_answer(link, codec).await?;
+    if !call.wants_report {
+        let report = None;
+        return Ok(Outcome { answer, report });
+    }
+    let second = read_answer(link, codec).await?;
+    // A member that is too busy to report proves nothing.
+    let report = (codec.report)(&second.body).ok();
+    Ok(Outcome { answer, report })
+}
+
+/// Begins a transaction on a connection that has the session's values.
+pub async fn begin(
+    link: &mut Link,
+    codec: &MemberCodec,
+    values: &Values,
+    after: Option<Position>,
+    is_read_only: bool,
+) -> Result<Answer> {
+    let mut output = BytesMut::new();
+    let skipped = put_session(&mut output, codec, link, values, None);
+    let request = MemberRequest::Begin {
+        after,
+        is_read_only,
+    };
+    (codec.encode)(&mut output, &request);
+    link.socket.write(output).await?;
+    skip_answers(link, codec, skipped).await?;
+    read_answer(link, codec).await
+}
--- /dev/null
+++ b/src/relay/forward.rs
@@ -0,0 +1,126 @@
+//! Standing for a member towards VMs that don't reach it themselves.
+//!
+//! Such a VM opens a connection here as it would open one to the member. Its
+//! session values and prepared statements are remembered; each statement or
+//! transaction borrows one of this VM's own connections to the member.
+
+mod conversation;
+
+use std::{cell::Cell, rc::Rc};
+
+use bytes::BytesMut;
+use compio::net::TcpStream;
+
+use self::conversation::Conversation;
+use super::{ErrorClass, ForwardMessage, Result, SessionState, handle::Shared, socket::Socket};
+use crate::{decision_log::decision, prelude::*};
+
+/// Messages of a VM that wait for their turn.
+const BACKLOG: usize = 16;
+/// Time after which a connection on which nothing is said is closed: a VM that
+/// lost power closes none.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time by which a transaction here outlives the limit that the other VM
+/// keeps: it ends its transactions itself unless it is lost.
+const TRANSACTION_MARGIN: Duration = Duration::from_secs(1);
+
+/// Serves a connection of another VM until it ends.
+pub async fn serve(shared: &Rc<Shared>, stream: TcpStream) {
+    let Ok(socket) = Socket::new(stream) else {
+        return;
+    };
+    let writer = socket.writer();
+    let (sender, messages) = flume::bounded(BACKLOG);
+    let is_over = Rc::new(Cell::new(false));
+    let decode = shared.options.codecs.forward.decode;
+    let reading = read_messages(socket, sender, decode, is_over.clone());
+    let reader = compio::runtime::spawn(reading);
+    if let Err(error) = converse(shared, &writer, &messages, is_over).await {
+        decision!("forward", reason = error.to_string(); "connection of another VM broken");
+    }
+    // Ends the task, and with it the last handle of the socket.
+    drop(reader);
+}
+
+type Decode = fn(&mut BytesMut) -> Result<Option<ForwardMessage>>;
+
+/// Reads messages in a task of its own, which notices when the VM has closed
+/// the connection while a request waits.
+async fn read_messages(
+    mut socket: Socket,
+    messages: flume::Sender<Result<ForwardMessage>>,
+    decode: Decode,
+    is_over: Rc<Cell<bool>>,
+) {
+    loop {
+        let message = match decode(&mut socket.input) {
+            Ok(Some(message)) => Ok(message),
+            Ok(None) => match socket.fill().await {
+                Ok(()) => continue,
+                Err(error) => Err(error),
+            },
+            Err(error) => Err(error),
+        };
+        is_over.set(message.is_err());
+        if messages.send_async(message).await.is_err() || is_over.get() {
+            return;
+        }
+    }
+}
+
+async fn converse(
+    shared: &Rc<Shared>,
+    writer: &TcpStream,
+    messages: &flume::Receiver<Result<ForwardMessage>>,
+    is_over: Rc<Cell<bool>>,
+) -> Result<()> {
+    let Some(ForwardMessage::Open { service, member }) = next(messages, IDLE_TIMEOUT).await? else {
+        return Ok(());
+    };
+    let codec = &shared.options.codecs.caller;
+    let mut output = BytesMut::new();
+    if shared.service(&service).is_none() {
+        (codec.error)(&mut output, ErrorClass::WrongMember, "no such service");
+        return super::socket::write(writer, output).await;
+    }
+    (codec.ready)(&mut output, SessionState::Idle, None);
+    super::socket::write(writer, output).await?;
+    let mut conversation = Conversation::new(shared.clone(), service, member, is_over);
+    let ended = talk(shared, writer, messages, &mut conversation).await;
+    conversation.finish();
+    ended
+}
+
+async fn talk(
+    shared: &Shared,
+    writer: &TcpStream,
+    messages: &flume::Receiver<Result<ForwardMessage>>,
+    conversation: &mut Conversation,
+) -> Result<()> {
+    loop {
+        let limit = match conversation.is_in_transaction() {
+            true => Duration::from_millis(shared.transaction_idle_ms()) + TRANSACTION_MARGIN,
+            false => IDLE_TIMEOUT,
+        };
+        let Some(message) = next(messages, limit).await? else {
+            return Ok(());
+        };
+        let mut output = BytesMut::new();
+        if !conversation.answer(message, &mut output).await? {
+            return Ok(());
+        }
+        super::socket::write(writer, output).await?;
+    }
+}
+
+/// The next message; `None` once the connection is closed or idle for too long.
+async fn next(
+    messages: &flume::Receiver<Result<ForwardMessage>>,
+    limit: Duration,
+) -> Result<Option<ForwardMessage>> {
+    match compio::time::timeout(limit, messages.recv_async()).await {
+        Ok(Ok(Ok(message))) => Ok(Some(message)),
+        Ok(Ok(Err(super::RelayError::Closed)) | Err(_)) | Err(_) => Ok(None),
+        Ok(Ok(Err(error))) => Err(error),
+    }
+}
--- /dev/null
+++ b/src/relay/forward/conversation.rs
@@ -0,0 +1,309 @@
+//! What is said on one connection of another VM.
+
+use futures::channel::oneshot;
+
+use super::*;
+use crate::{
+    clock,
+    metrics::label,
+    relay::{
+        Answer, Statement, StatementKind,
+        exchange::{self, Call, begin, run},
+        link::{Link, Values},
+        message::{Acquire, NoReport, Refused, ServiceMessage, Want},
+        prepared::Shape,
+    },
+};
+
+/// Longest wait for a connection to the member, in milliseconds: the VM that
+/// asks needs time to try another way.
+const WAIT_MS: u64 = 400;
+/// Priority among the requests for the member: the VM that asks has ordered its
+/// own by that of their routes.
+const PRIORITY: u32 = 1;
+/// Why a VM that stops takes no more requests of others.
+const STOPPING: &str = "this VM is stopping";
+
+/// One connection of another VM, as if it led to the member.
+pub struct Conversation {
+    shared: Rc<Shared>,
+    service: Name,
+    member: Name,
+    /// Whether the VM has closed it.
+    is_over: Rc<Cell<bool>>,
+    values: Rc<Values>,
+    prepared: BTreeMap<Name, Shape>,
+    /// The member's connection while a transaction is open.
+    link: Option<Link>,
+}
+
+impl Conversation {
+    /// Starts a conversation about a member.
+    pub fn new(
+        shared: Rc<Shared>,
+        service: Name,
+        member: Name,
+        is_over: Rc<Cell<bool>>,
+    ) -> Conversation {
+        Conversation {
+            shared,
+            service,
+            member,
+            is_over,
+            values: Rc::default(),
+            prepared: BTreeMap::new(),
+            link: None,
+        }
+    }
+
+    /// Writes the answer to a message; `false` if the connection ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the member's connection breaks: the VM that asked
+    /// then knows as much as if it had been its own.
+    pub async fn answer(&mut self, message: ForwardMessage, output: &mut BytesMut) -> Result<bool> {
+        match message {
+            ForwardMessage::Open { .. } | ForwardMessage::Close => return Ok(false),
+            ForwardMessage::Set { name, value } => {
+                Rc::make_mut(&mut self.values).insert(name, value);
+                self.put_done(output);
+            }
+            ForwardMessage::Prepare(shape) => {
+                self.prepared.insert(shape.name.clone(), shape);
+                self.put_done(output);
+            }
+            ForwardMessage::Reset => {
+                self.values = Rc::default();
+                self.prepared.clear();
+                self.put_done(output);
+            }
+            ForwardMessage::Status => return Ok(self.report(output).await),
+            ForwardMessage::Rollback => {
+                if let Some(link) = self.link.take() {
+                    self.give_back(link, true, None);
+                }
+                self.put_done(output);
+            }
+            ForwardMessage::Begin {
+                after,
+                is_read_only,
+            } => self.begin(after, is_read_only, output).await?,
+            ForwardMessage::Run { statement, after } => {
+                self.run(&statement, after, output).await?;
+            }
+        }
+        Ok(true)
+    }
+
+    /// Gives back what the connection has borrowed, once it has ended.
+    pub fn finish(&mut self) {
+        if let Some(link) = self.link.take() {
+            self.give_back(link, true, None);
+        }
+    }
+
+    /// Whether a transaction is open.
+    pub fn is_in_transaction(&self) -> bool {
+        self.link.is_some()
+    }
+
+    fn put_done(&self, output: &mut BytesMut) {
+        let codec = &self.shared.options.codecs.caller;
+        (codec.complete)(output);
+        (codec.ready)(output, self.state(), None);
+    }
+
+    fn state(&self) -> SessionState {
+        match self.link {
+            Some(_) => SessionState::Transaction,
+            None => SessionState::Idle,
+        }
+    }
+
+    /// Writes the member's report; `false` if the member is silent: the VM that
+    /// asked then takes it for silent, too.
+    async fn report(&self, output: &mut BytesMut) -> bool {
+        if self.shared.stopping.borrow().is_some() {
+            self.put_error(ErrorClass::WrongMember, STOPPING, output);
+            return true;
+        }
+        let (reply, report) = oneshot::channel();
+        let message = ServiceMessage::Report {
+            member: self.member.clone(),
+            since_us: clock::boot_us(),
+            reply,
+        };
+        self.shared.send(&self.service, message);
+        let report = match report.await.unwrap_or(Err(NoReport::NotReached)) {
+            Ok(report) => report,
+            Err(NoReport::Silent) => return false,
+            Err(NoReport::NotReached) => {
+                let text = "this VM does not go to the member itself";
+                self.put_error(ErrorClass::WrongMember, text, output);
+                return true;
+            }
+        };
+        let codecs = &self.shared.options.codecs;
+        (codecs.forward.report)(output, &report);
+        (codecs.caller.ready)(output, self.state(), None);
+        true
+    }
+
+    async fn begin(
+        &mut self,
+        after: Option<Position>,
+        is_read_only: bool,
+        output: &mut BytesMut,
+    ) -> Result<()> {
+        let mut link = match self.acquire(b"-", true).await {
+            Ok(link) => link,
+            Err(refusal) => {
+                self.put_refusal(&refusal, output);
+                return Ok(());
+            }
+        };
+        let codec = self.shared.options.codecs.member;
+        let begun = begin(&mut link, &codec, &self.values, after, is_read_only).await;
+        let answer = begun.inspect_err(|_| self.suspect())?;
+        self.conclude(link, &answer, None, output);
+        Ok(())
+    }
+
+    async fn run(
+        &mut self,
+        statement: &Statement,
+        after: Option<Position>,
+        output: &mut BytesMut,
+    ) -> Result<()> {
+        let shape = match &statement.kind {
+            StatementKind::Execute { name, .. } => {
+                let name = String::from_utf8_lossy(name);
+                let Some(shape) = self.prepared.get(&*name) else {
+                    let text = "no such prepared statement";
+                    self.put_error(ErrorClass::NoStatement, text, output);
+                    return Ok(());
+                };
+                Some(shape.clone())
+            }
+            _ => None,
+        };
+        let is_alone = self.link.is_none();
+        let mut link = match self.link.take() {
+            Some(link) => link,
+            None => match self.acquire(&statement.id, false).await {
+                Ok(link) => link,
+                Err(refusal) => {
+                    self.put_refusal(&refusal, output);
+                    return Ok(());
+                }
+            },
+        };
+        let call = Call {
+            statement,
+            shape: shape.as_ref(),
+            after,
+            wants_report: false,
+        };
+        let sent_us = clock::boot_us();
+        let codec = self.shared.options.codecs.member;
+        let ran = run(&mut link, &codec, &self.values, &call).await;
+        let exchange::Outcome { answer, .. } = ran.inspect_err(|_| self.suspect())?;
+        let took_us = clock::boot_us() - sent_us;
+        decision!(
+            "forward", request = String::from_utf8_lossy(&statement.id),
+            service = &*self.service, member = &*self.member, took_ms = took_us / 1_000,
+            outcome = answer.error.map_or("done", Into::into); "statement forwarded"
+        );
+        self.conclude(link, &answer, is_alone.then_some(took_us), output);
+        Ok(())
+    }
+
+    /// Passes an answer on, and keeps the connection while a transaction is open.
+    fn conclude(
+        &mut self,
+        link: Link,
+        answer: &Answer,
+        read_us: Option<u64>,
+        output: &mut BytesMut,
+    ) {
+        let outcome: &'static str = answer.error.map_or("done", Into::into);
+        let labels = [label("outcome", outcome)];
+        self.shared.metrics.forwarded.add(1, &labels);
+        output.extend_from_slice(&answer.body);
+        let codec = &self.shared.options.codecs.caller;
+        (codec.ready)(output, answer.state, answer.position);
+        if let Some(class) = answer.error {
+            self.shared.note_refusal(&self.service, &self.member, class);
+        }
+        match answer.state {
+            SessionState::Idle => self.give_back(link, false, read_us),
+            _ => self.link = Some(link),
+        }
+    }
+
+    async fn acquire(&self, id: &[u8], is_transaction: bool) -> std::result::Result<Link, Refused> {
+        let refused = |class, text| Refused {
+            class,
+            text,
+            retry_after_ms: 0,
+        };
+        if self.shared.stopping.borrow().is_some() {
+            return Err(refused(ErrorClass::WrongMember, STOPPING));
+        }
+        let (reply, granted) = oneshot::channel();
+        let acquire = Acquire {
+            id: bytes::Bytes::copy_from_slice(id),
+            want: Want::Forward(self.member.clone()),
+            deadline_ms: clock::boot_ms() + WAIT_MS,
+            priority: PRIORITY,
+            is_transaction,
+            avoid: BTreeSet::new(),
+            values: self.values.clone(),
+            reply,
+        };
+        self.shared
+            .send(&self.service, ServiceMessage::Acquire(acquire));
+        let lost = refused(ErrorClass::WrongMember, "the service is not served");
+        let link = granted.await.unwrap_or(Err(lost))?.link;
+        if self.is_over.get() {
+            self.give_back(link, false, None);
+            return Err(refused(ErrorClass::Busy, "the VM that asked has gone"));
+        }
+        Ok(link)
+    }
+
+    fn put_refusal(&self, refusal: &Refused, output: &mut BytesMut) {
+        let class: &'static str = refusal.class.into();
+        let labels = [label("outcome", class)];
+        self.shared.metrics.forwarded.add(1, &labels);
+        decision!(
+            "forward", service = &*self.service, member = &*self.member, outcome = class,
+            reason = refusal.text; "statement not forwarded"
+        );
+        self.put_error(refusal.class, refusal.text, output);
+    }
+
+    fn put_error(&self, class: ErrorClass, text: &str, output: &mut BytesMut) {
+        let codec = &self.shared.options.codecs.caller;
+        (codec.error)(output, class, text);
+        (codec.ready)(output, self.state(), None);
+    }
+
+    fn give_back(&self, link: Link, needs_rollback: bool, read_us: Option<u64>) {
+        let message = ServiceMessage::Release {
+            link,
+            needs_rollback,
+            read_us,
+        };
+        self.shared.send(&self.service, message);
+    }
+
+    fn suspect(&self) {
+        let message = ServiceMessage::Suspect {
+            member: self.member.clone(),
+            is_commit: false,
+        };
+        self.shared.send(&self.service, message);
+    }
+}
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -5,23 +5,24 @@
     rc::Rc,
 };
 
-use compio::net::TcpListener;
+use compio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use super::{
-    Catalog, RelayOptions, Roster, Route,
+    Catalog, ErrorClass, RelayOptions, Roster, Route, Vms, forward,
     message::ServiceMessage,
     service,
     session::{self, STOP_LINGER_MS},
 };
-use crate::{
-    clock, decide::dispatch::shares, decision_log::decision, metrics::Metrics, prelude::*,
-};
+use crate::{clock, decision_log::decision, metrics::Metrics, prelude::*};
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two looks at the sessions while the VM stops.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Limit of idle transactions before a configuration says one, in milliseconds:
+/// no transaction can be open then.
+const UNKNOWN_IDLE_MS: u64 = 3_600_000;
 /// Part of the grace that is left for the end of the process, in milliseconds.
 const STOP_RESERVE_MS: u64 = 800;
 
@@ -54,6 +55,37 @@
         self.services.borrow().get(service).cloned()
     }
 
+    /// Sends a message to a service's task.
+    pub fn send(&self, service: &Name, message: ServiceMessage) {
+        if let Some(mailbox) = self.service(service) {
+            // The task ends only with the process.
+            let _ = mailbox.send(message);
+        }
+    }
+
+    /// What follows for a service from an answer that says it was not run.
+    pub fn note_refusal(&self, service: &Name, member: &Name, class: ErrorClass) {
+        let member = member.clone();
+        let message = match class {
+            ErrorClass::ReadOnly => ServiceMessage::NotPrimary { member },
+            ErrorClass::Lagging => ServiceMessage::Behind { member },
+            ErrorClass::Busy => ServiceMessage::Full { member },
+            ErrorClass::WrongMember => ServiceMessage::Suspect {
+                member,
+                is_commit: false,
+            },
+            _ => return,
+        };
+        self.send(service, message);
+    }
+
+    /// Time after which an idle transaction may be ended, in milliseconds.
+    pub fn transaction_idle_ms(&self) -> u64 {
+        let catalog = self.catalog.borrow();
+        let limits = catalog.as_ref().map(|c| c.limits);
+        limits.map_or(UNKNOWN_IDLE_MS, |limits| limits.transaction_idle_ms)
+    }
+
     /// Replicas that must have received a commit of a service.
     pub fn sync_replicas(&self, service: &Name) -> u32 {
         let catalog = self.catalog.borrow();
@@ -67,7 +99,7 @@
     shared: Rc<Shared>,
     stop: watch::Sender<Option<u64>>,
     ready: watch::Sender<bool>,
-    vms_by_zone: RefCell<BTreeMap<Name, usize>>,
+    vms: RefCell<Rc<Vms>>,
 }
 
 impl Relay {
@@ -87,7 +119,7 @@
             shared: Rc::new(shared),
             stop,
             ready: watch::channel(false).0,
-            vms_by_zone: RefCell::new(BTreeMap::new()),
+            vms: RefCell::default(),
         }
     }
 
@@ -123,9 +155,9 @@
         );
         for (service, entry) in &catalog.services {
             match self.shared.service(service) {
-                Some(mailbox) => {
-                    // The task ends only with the process.
-                    let _ = mailbox.send(ServiceMessage::Entry(entry.clone()));
+                Some(_) => {
+                    let message = ServiceMessage::Entry(entry.clone());
+                    self.shared.send(service, message);
                 }
                 None => self.start_service(service, entry.clone()),
             }
@@ -141,6 +173,8 @@
             .services
             .borrow_mut()
             .insert(name.clone(), mailbox);
+        let vms = self.vms.borrow().clone();
+        self.shared.send(name, ServiceMessage::Vms(vms));
         self.tell_members(name);
     }
 
@@ -151,31 +185,28 @@
         }
         *self.shared.roster.borrow_mut() = roster;
         self.note_ready();
-        self.tell_all();
+        for service in self.services() {
+            self.tell_members(&service);
+        }
     }
 
-    /// Takes the number of VMs at work in each zone.
-    pub fn count_vms(&self, vms_by_zone: BTreeMap<Name, usize>) {
-        if *self.vms_by_zone.borrow() == vms_by_zone {
+    /// Takes the VMs that are at work.
+    pub fn list_vms(&self, vms: Vms) {
+        if **self.vms.borrow() == vms {
             return;
         }
-        decision!("placement", vms = format!("{vms_by_zone:?}"); "VMs at work");
-        *self.vms_by_zone.borrow_mut() = vms_by_zone;
-        self.tell_all();
-    }
-
-    /// Equal shares of the connections; `None` before the VMs are counted.
-    fn shares(&self) -> Option<usize> {
-        let vms_by_zone = self.vms_by_zone.borrow();
-        let zone = &self.shared.options.zone;
-        (!vms_by_zone.is_empty()).then(|| shares(&vms_by_zone, zone))
+        let names: Vec<&str> = vms.places.keys().map(|vm| &**vm).collect();
+        decision!("placement", vms = names.join(" "); "VMs at work");
+        let vms = Rc::new(vms);
+        *self.vms.borrow_mut() = vms.clone();
+        for service in self.services() {
+            let message = ServiceMessage::Vms(vms.clone());
+            self.shared.send(&service, message);
+        }
     }
 
-    fn tell_all(&self) {
-        let services: Vec<Name> = self.shared.services.borrow().keys().cloned().collect();
-        for service in services {
-            self.tell_members(&service);
-        }
+    fn services(&self) -> Vec<Name> {
+        self.shared.services.borrow().keys().cloned().collect()
     }
 
     fn tell_members(&self, service: &Name) {
@@ -183,26 +214,14 @@
         let members = roster.members.iter();
         let members = members.filter(|(_, m)| m.service == *service);
         let members = members.map(|(id, m)| (id.clone(), m.clone())).collect();
-        if let Some(mailbox) = self.shared.service(service) {
-            // The task ends only with the process.
-            let _ = mailbox.send(ServiceMessage::Members {
-                members,
-                shares: self.shares(),
-            });
-        }
+        self.shared
+            .send(service, ServiceMessage::Members { members });
     }
 
     /// Serves callers that connect. Never ends.
     pub async fn accept(&self, listener: TcpListener) {
         loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    log::warn!(target: "listener", "not accepted: {error}");
-                    compio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
+            let stream = next_connection(&listener).await;
             let shared = self.shared.clone();
             compio::runtime::spawn(async move {
                 shared.sessions.set(shared.sessions.get() + 1);
@@ -213,6 +232,15 @@
         }
     }
 
+    /// Serves other VMs that send statements through this one. Never ends.
+    pub async fn accept_forwarded(&self, listener: TcpListener) {
+        loop {
+            let stream = next_connection(&listener).await;
+            let shared = self.shared.clone();
+            compio::runtime::spawn(async move { forward::serve(&shared, stream).await }).detach();
+        }
+    }
+
     /// Stops: answers what runs, ends sessions between requests. Returns once
     /// all have ended or the grace is over.
     pub async fn stop(&self) {
@@ -236,3 +264,15 @@
         );
     }
 }
+
+async fn next_connection(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                log::warn!(target: "listener", "not accepted: {error}");
+                compio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 use super::socket::Socket;
-use crate::{prelude::*, proxy::link::Permit};
+use crate::{decide::holders::Way, prelude::*, proxy::link::Permit};
 
 /// Values of a session, by name.
 pub type Values = BTreeMap<Bytes, Bytes>;
@@ -11,12 +11,14 @@
 /// Prepared statements after which a connection is reset before it is reused.
 const PREPARED_MAX: usize = 500;
 
-/// A connection to a member.
+/// A connection to a member, or to another VM that stands for it.
 pub struct Link {
     /// The socket.
     pub socket: Socket,
     /// Id of the member.
     pub member: Name,
+    /// How it leads there.
+    pub way: Way,
     /// Values that are set on it.
     pub values: Values,
     /// Names of the statements that are prepared on it.
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -7,7 +7,13 @@
 };
 use crate::{
     clock,
-    decide::{admission::AdmissionQueue, dispatch::ConnectionBudget, member::Role, window::Window},
+    decide::{
+        admission::AdmissionQueue,
+        dispatch::{ConnectionBudget, shares},
+        holders::Way,
+        member::Role,
+        window::Window,
+    },
 };
 
 /// Requests that may wait for one member.
@@ -29,6 +35,18 @@
 /// come back with its log.
 const GONE_MS: u64 = 12_000;
 
+/// Connections to a VM that a member is reached through: more than a member's
+/// window lets run.
+const FORWARDED_MAX: usize = 40;
+
+/// Time after which the best way to a member is tried again while another is in
+/// use, in milliseconds: a question that fails costs the time of a probe.
+const BEST_RETRY_MS: u64 = 4_000;
+
+/// Equal shares of the connections before the VMs are counted: one connection
+/// for this VM, and more only while the member reports room.
+const UNCOUNTED_SHARES: usize = usize::MAX;
+
 /// Part of the time to drain that is kept back, in milliseconds: for news that
 /// come late, and for requests on their way.
 const DRAIN_MARGIN_MS: u64 = 1_500;
@@ -43,6 +61,16 @@
     pub leaving_since_ms: Option<u64>,
     /// Distance from this VM: 0 to 2.
     pub distance: u32,
+    /// Ways to reach it, best first; never empty.
+    ways: Vec<Way>,
+    /// Index of the one in use.
+    way: usize,
+    /// Index of the last other one that was tried, or zero.
+    spare_way: usize,
+    /// Time at which the best way is tried again, in milliseconds.
+    retry_best_ms: u64,
+    /// Equal shares that its connections are dealt out in.
+    shares: usize,
     /// Connections that nobody uses.
     pub idle: Vec<Link>,
     /// Connections that are open, or being opened.
@@ -85,6 +113,11 @@
             unlisted_since_ms: None,
             leaving_since_ms: None,
             distance,
+            ways: vec![Way::Direct],
+            way: 0,
+            spare_way: 0,
+            retry_best_ms: 0,
+            shares: UNCOUNTED_SHARES,
             idle: Vec::new(),
             open: 0,
             opening: 0,
@@ -149,14 +182,90 @@
         (report.role == Role::Primary).then_some(report.term)
     }
 
-    /// What is known of the connections to it.
-    pub fn budget(&self, connections_max: usize, shares: usize) -> ConnectionBudget {
+    /// What is known of the connections to it. To a VM that it is reached
+    /// through any number may be opened: they are not the member's.
+    pub fn budget(&self, connections_max: usize) -> ConnectionBudget {
         let now_us = clock::boot_us();
         let recent = self.report.filter(|(at, _)| now_us < at + COUNT_AGE_US);
-        ConnectionBudget {
-            connections_max,
-            shares,
-            reported: recent.map(|(_, report)| report.connections),
+        match self.way() {
+            Way::Direct => ConnectionBudget {
+                connections_max,
+                shares: self.shares,
+                reported: recent.map(|(_, report)| report.connections),
+            },
+            Way::Through(_) => ConnectionBudget {
+                connections_max: FORWARDED_MAX,
+                shares: 1,
+                reported: None,
+            },
+        }
+    }
+
+    /// The way in use.
+    pub fn way(&self) -> &Way {
+        &self.ways[self.way]
+    }
+
+    /// Whether the best way is to be tried again.
+    pub fn is_best_due(&self, now_ms: u64) -> bool {
+        self.way > 0 && self.failures == 0 && now_ms >= self.retry_best_ms
+    }
+
+    /// The way by which the next question goes: now and then the best one,
+    /// while it is not the one in use.
+    pub fn probe_way(&mut self, now_ms: u64) -> Way {
+        if !self.is_best_due(now_ms) {
+            return self.way().clone();
+        }
+        self.retry_best_ms = now_ms + BEST_RETRY_MS;
+        self.ways[0].clone()
+    }
+
+    /// Takes note that the member answered by a way: it is used from now on if
+    /// it is a better one, or if the one in use has failed.
+    pub fn note_answer(&mut self, way: &Way) {
+        let known = self.ways.iter().position(|w| w == way);
+        if let Some(index) = known.filter(|index| *index < self.way || self.failures > 0) {
+            self.use_way(index);
+        }
+    }
+
+    fn use_way(&mut self, index: usize) {
+        if index != self.way {
+            self.way = index;
+            self.retry_best_ms = clock::boot_ms() + BEST_RETRY_MS;
+            self.idle.clear();
+        }
+    }
+
+    /// Uses the next way, after the one in use has failed: the best one and
+    /// each of the others by turns, since it is the member that fails as a rule.
+    pub fn use_next_way(&mut self) {
+        let next = match self.way {
+            0 if self.ways.len() > 1 => {
+                self.spare_way = self.spare_way % (self.ways.len() - 1) + 1;
+                self.spare_way
+            }
+            _ => 0,
+        };
+        self.use_way(next);
+    }
+
+    /// Takes the ways that lead to it, and the shares of its connections. The
+    /// way in use stays in use if it is still among them.
+    pub fn set_ways(&mut self, ways: Vec<Way>, zones: usize, holders: usize) {
+        self.shares = shares(zones, holders);
+        if ways.is_empty() || ways == self.ways {
+            return;
+        }
+        let before = self.way().clone();
+        // The best way is tried first again when it is another one.
+        let keeps_best = ways[0] == self.ways[0] || self.failures > 0;
+        let kept = ways.iter().position(|w| *w == before);
+        self.ways = ways;
+        self.way = kept.filter(|_| keeps_best).unwrap_or(0);
+        if *self.way() != before {
+            self.idle.clear();
         }
     }
 
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -5,10 +5,10 @@
 use futures::channel::oneshot;
 
 use super::{
-    ErrorClass, MemberEntry, Result, ServiceEntry, StatusReport,
+    ErrorClass, MemberEntry, Result, ServiceEntry, StatusReport, Vms,
     link::{Link, Values},
 };
-use crate::prelude::*;
+use crate::{decide::holders::Way, prelude::*};
 
 /// How fresh a member's log must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,19 +22,22 @@
 }
 
 /// What a connection is needed for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Want {
     /// For what only the primary can do. Whoever reads there without a proof
     /// that it leads says how fresh its log must be.
     Primary(Option<Freshness>),
     /// To read.
     Read(Freshness),
+    /// For what another VM asks of one member.
+    Forward(Name),
 }
 
 impl Want {
     /// How fresh the member's log must be.
     pub fn freshness(&self) -> Option<Freshness> {
         match self {
+            Want::Forward(_) => None,
             Want::Primary(freshness) => *freshness,
             Want::Read(freshness) => Some(*freshness),
         }
@@ -87,6 +90,16 @@
     pub retry_after_ms: u64,
 }
 
+/// Why there is no report of a member for another VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum NoReport {
+    /// The member does not answer this VM.
+    Silent,
+    /// This VM does not go to the member itself.
+    NotReached,
+}
+
 /// A message to a service's task.
 pub enum ServiceMessage {
     /// Grant a connection.
@@ -126,11 +139,22 @@
     Probed {
         /// Id of the member.
         member: Name,
+        /// How it was asked.
+        way: Way,
         /// Time it was asked, in microseconds.
         asked_us: u64,
         /// The report, and the connection that it came on.
         result: Result<(Link, StatusReport)>,
     },
+    /// Another VM asks for a report of a member.
+    Report {
+        /// Id of the member.
+        member: Name,
+        /// Time after which the member must be asked, in microseconds.
+        since_us: u64,
+        /// Answer.
+        reply: oneshot::Sender<std::result::Result<StatusReport, NoReport>>,
+    },
     /// Prove that nobody else leads.
     Prove {
         /// Member that is believed to lead.
@@ -170,10 +194,9 @@
     Members {
         /// Members by id.
         members: BTreeMap<Name, MemberEntry>,
-        /// Equal shares that the connections to each are dealt out in; `None`
-        /// while that is not known.
-        shares: Option<usize>,
     },
+    /// The VMs that are at work.
+    Vms(Rc<Vms>),
     /// The configuration of the service.
     Entry(ServiceEntry),
     /// An attempt to replace the primary has ended.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod codec;
 mod error;
 mod exchange;
+mod forward;
 mod handle;
 mod link;
 mod member;
@@ -23,13 +24,17 @@
 mod statement;
 mod takeover;
 mod transaction;
+mod vms;
 
 pub use answer::{Answer, ErrorClass, SessionState, StatusReport};
 pub use catalog::{Catalog, Consistency, Limits, Route, ServiceEntry};
-pub use codec::{CallerCodec, CallerMessage, Codecs, MemberCodec, MemberRequest};
+pub use codec::{
+    CallerCodec, CallerMessage, Codecs, ForwardCodec, ForwardMessage, MemberCodec, MemberRequest,
+};
 pub use error::{RelayError, Result};
 pub use handle::Relay;
 pub use options::{Authority, Claim, PromoteOutcome, Promotion, RelayOptions};
 pub use prepared::Shape;
 pub use roster::{MemberEntry, Roster};
 pub use statement::{Access, Statement, StatementKind};
+pub use vms::Vms;
--- a/src/relay/open.rs
+++ b/src/relay/open.rs
@@ -9,7 +9,7 @@
     MemberCodec, MemberRequest, RelayError, Result, exchange::read_answer, link::Link,
     socket::Socket,
 };
-use crate::{prelude::*, proxy::link::Permit};
+use crate::{decide::holders::Way, prelude::*, proxy::link::Permit};
 
 /// Longest time to open a connection: three trips to another region and back,
 /// the member's work and a full queue there.
@@ -22,7 +22,9 @@
     pub service: Name,
     /// Id of the member.
     pub member: Name,
-    /// Address.
+    /// How it is reached.
+    pub way: Way,
+    /// Address of the member, or of the VM that the way leads through.
     pub address: SocketAddr,
 }
 
@@ -42,6 +44,7 @@
     let mut link = Link {
         socket: Socket::new(stream)?,
         member: target.member.clone(),
+        way: target.way.clone(),
         values: BTreeMap::new(),
         prepared: BTreeSet::new(),
         run: None,
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -52,6 +52,8 @@
 /// What the relay needs from its surroundings.
 #[derive(Clone, bon::Builder)]
 pub struct RelayOptions {
+    /// Name of the VM.
+    pub vm: Name,
     /// Its availability zone.
     pub zone: Name,
     /// Region of each availability zone.
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -5,23 +5,26 @@
 mod grant;
 mod members;
 mod probe;
+mod reports;
 mod watch;
+mod ways;
 
 use std::rc::Rc;
 
 use futures::channel::oneshot;
 
 use super::{
-    ErrorClass, MemberEntry, RelayOptions, ServiceEntry,
+    ErrorClass, MemberEntry, RelayOptions, ServiceEntry, StatusReport, Vms,
     link::Values,
     member::Member,
-    message::{Acquire, Freshness, Granted, Refused, ServiceMessage, Want},
+    message::{Acquire, Freshness, Granted, NoReport, Refused, ServiceMessage, Want},
     open::{Target, open},
 };
 use crate::{
     clock,
     decide::{
         age::AgeTracker,
+        holders::Way,
         member::Role,
         takeover::{Reason, Stuck},
     },
@@ -38,10 +41,6 @@
 /// The same while a member does not answer.
 const FAILING_TICK_MS: u64 = 50;
 
-/// Equal shares of the connections before the VMs are counted: one connection
-/// for this VM, and more only while the member reports room.
-const UNCOUNTED_SHARES: usize = usize::MAX;
-
 /// What tasks of a service share.
 #[derive(Clone)]
 pub struct ServiceContext {
@@ -70,16 +69,24 @@
     reply: oneshot::Sender<Option<u64>>,
 }
 
+/// A report of a member that another VM waits for.
+struct PendingReport {
+    member: Name,
+    since_us: u64,
+    reply: oneshot::Sender<std::result::Result<StatusReport, NoReport>>,
+}
+
 struct Service {
     context: ServiceContext,
     entry: ServiceEntry,
-    shares: usize,
+    vms: Rc<Vms>,
     members: BTreeMap<Name, Member>,
     primary: Option<Name>,
     missing_since_ms: u64,
     waiting_primary: Vec<Acquire>,
     waiting_floor: Vec<Acquire>,
     proofs: Vec<PendingProof>,
+    reports: Vec<PendingReport>,
     refresh_since_us: Option<u64>,
     ages: AgeTracker,
     stuck: Option<Stuck>,
@@ -125,13 +132,14 @@
     let mut service = Service {
         context,
         entry,
-        shares: UNCOUNTED_SHARES,
+        vms: Rc::default(),
         members: BTreeMap::new(),
         primary: None,
         missing_since_ms: clock::boot_ms(),
         waiting_primary: Vec::new(),
         waiting_floor: Vec::new(),
         proofs: Vec::new(),
+        reports: Vec::new(),
         refresh_since_us: None,
         ages: AgeTracker::default(),
         stuck: None,
@@ -175,9 +183,19 @@
             ServiceMessage::Opened { member, result } => self.opened(&member, result),
             ServiceMessage::Probed {
                 member,
+                way,
                 asked_us,
                 result,
-            } => self.probed(&member, asked_us, result),
+            } => self.probed(&member, &way, asked_us, result),
+            ServiceMessage::Report {
+                member,
+                since_us,
+                reply,
+            } => self.reports.push(PendingReport {
+                member,
+                since_us,
+                reply,
+            }),
             ServiceMessage::Prove {
                 primary,
                 since_us,
@@ -194,8 +212,9 @@
             ServiceMessage::Committed => self.stuck = None,
             ServiceMessage::NotPrimary { member } => self.not_primary(&member),
             ServiceMessage::Behind { member } => self.behind(&member),
-            ServiceMessage::Members { members, shares } => self.change_members(members, shares),
-            ServiceMessage::Entry(entry) => self.entry = entry,
+            ServiceMessage::Members { members } => self.change_members(members),
+            ServiceMessage::Vms(vms) => self.change_vms(vms),
+            ServiceMessage::Entry(entry) => self.change_entry(entry),
             ServiceMessage::TakeoverEnded { promoted } => self.takeover_ended(promoted),
         }
     }
@@ -206,6 +225,7 @@
         self.drop_superseded();
         self.note_primary();
         self.settle_proofs();
+        self.settle_reports();
         self.settle_floor();
         self.route_waiting();
         let members: Vec<Name> = self.members.keys().cloned().collect();
@@ -224,6 +244,7 @@
     fn next_timer(&self) -> Duration {
         let is_waiting = !self.waiting_floor.is_empty()
             || !self.proofs.is_empty()
+            || !self.reports.is_empty()
             || !self.waiting_primary.is_empty()
             || self.members.values().any(|m| !m.queue.is_empty());
         let is_failing = self.members.values().any(|m| m.failures > 0);
@@ -281,15 +302,6 @@
         self.stuck = None;
         self.primary = found;
     }
-
-    fn target(&self, member: &Name) -> Option<Target> {
-        let entry = &self.members.get(member)?.entry;
-        Some(Target {
-            service: self.context.service.clone(),
-            member: member.clone(),
-            address: entry.address,
-        })
-    }
 }
 
 fn refuse(acquire: Acquire, class: ErrorClass, text: &'static str, retry_after_ms: u64) {
--- a/src/relay/service/connections.rs
+++ b/src/relay/service/connections.rs
@@ -59,7 +59,7 @@
     }
 
     pub(super) fn limit(&self, member: &Member) -> usize {
-        let budget = member.budget(self.entry.connections_max, self.shares);
+        let budget = member.budget(self.entry.connections_max);
         budget.limit(member.open)
     }
 
@@ -67,7 +67,7 @@
     pub(super) fn trim(&mut self, now_ms: u64) {
         let connections_max = self.entry.connections_max;
         for member in self.members.values_mut().filter(|m| !m.idle.is_empty()) {
-            let budget = member.budget(connections_max, self.shares);
+            let budget = member.budget(connections_max);
             member.trim(&budget, now_ms);
         }
     }
@@ -91,6 +91,9 @@
         if member.entry.is_leaving && self.primary.as_ref() != Some(&id) {
             return;
         }
+        if link.way != *member.way() {
+            return;
+        }
         link.idle_since_ms = clock::boot_ms();
         member.idle.push(link);
         self.serve_queue(&id);
@@ -103,6 +106,7 @@
         };
         member.opening = member.opening.saturating_sub(1);
         match result {
+            Ok(link) if link.way != *member.way() => self.serve_queue(id),
             Ok(mut link) => {
                 link.idle_since_ms = now_ms;
                 member.idle.push(link);
@@ -115,8 +119,10 @@
                 );
                 member.open_after_ms = now_ms + OPEN_PAUSE_MS;
                 // A member that is full need not be asked how it is.
-                if !matches!(error, RelayError::Refused { .. }) {
-                    self.suspect(id, false);
+                let is_other = ErrorClass::WrongMember;
+                match error {
+                    RelayError::Refused { class } if class != is_other => {}
+                    _ => self.suspect(id, false),
                 }
             }
         }
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -36,12 +36,26 @@
                 return self.wait_for_floor(acquire);
             }
         }
-        match acquire.want {
+        match acquire.want.clone() {
             Want::Primary(_) => self.acquire_primary(acquire),
             Want::Read(freshness) => self.acquire_reader(acquire, &freshness),
+            Want::Forward(member) => self.acquire_forwarded(acquire, &member),
         }
     }
 
+    /// Another VM asks for a member that this one should reach.
+    fn acquire_forwarded(&mut self, acquire: Acquire, member: &Name) {
+        if self.reaches(member) && !self.is_closed(member) {
+            return self.serve_on(member, acquire);
+        }
+        refuse(
+            acquire,
+            ErrorClass::WrongMember,
+            "the member does not answer this VM",
+            CUT_OFF_RETRY_MS,
+        );
+    }
+
     fn has_member_behind(&self) -> bool {
         let now_ms = clock::boot_ms();
         let mut members = self.members.values();
--- a/src/relay/service/members.rs
+++ b/src/relay/service/members.rs
@@ -5,13 +5,8 @@
 use super::*;
 
 impl Service {
-    pub(super) fn change_members(
-        &mut self,
-        members: BTreeMap<Name, MemberEntry>,
-        shares: Option<usize>,
-    ) {
+    pub(super) fn change_members(&mut self, members: BTreeMap<Name, MemberEntry>) {
         let now_ms = clock::boot_ms();
-        self.shares = shares.unwrap_or(UNCOUNTED_SHARES);
         for (id, member) in &mut self.members {
             if !members.contains_key(id) {
                 member.unlisted_since_ms.get_or_insert(now_ms);
@@ -25,6 +20,7 @@
             since.is_some_and(|at| now_ms >= at + watch::FORGET_MS) && m.open == 0
         };
         self.members.retain(|_, member| !forget(member));
+        self.find_ways();
     }
 
     fn change_member(&mut self, id: &Name, entry: MemberEntry) {
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -13,6 +13,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between questions to a member that does not answer, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 100;
+/// Pause after another VM refused to stand for a member, in milliseconds.
+const REFUSED_PAUSE_MS: u64 = 20;
 /// Time after which all members are asked for a proof, not only the nearest,
 /// in microseconds: over the time of a trip to another region and back.
 const WIDEN_US: u64 = 120_000;
@@ -42,7 +44,7 @@
             .members
             .iter()
             .filter(|(_, m)| m.probing_us.is_none() && m.next_probe_ms <= now_ms)
-            .filter(|(_, m)| m.probe_after_us.is_some() || m.failures > 0)
+            .filter(|(_, m)| m.probe_after_us.is_some() || m.failures > 0 || m.is_best_due(now_ms))
             .map(|(id, _)| id.clone())
             .collect();
         for id in due {
@@ -51,7 +53,11 @@
     }
 
     fn start_probe(&mut self, id: &Name) {
-        let Some(target) = self.target(id) else {
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        let way = member.probe_way(clock::boot_ms());
+        let Some(target) = self.target_by(id, &way) else {
             return;
         };
         let Some(member) = self.members.get_mut(id) else {
@@ -63,21 +69,22 @@
         // A member that fails is asked on a new connection: the old ones may
         // have gone silent.
         let idle = match member.failures {
-            0 => member.take_idle(&Values::new()),
+            0 if way == *member.way() => member.take_idle(&Values::new()),
             _ => None,
         };
-        let way = match idle {
-            Some(link) => Way::Open(Box::new(link)),
-            None => Way::New(target, self.count_open(id)),
+        let connection = match idle {
+            Some(link) => Connection::Open(Box::new(link)),
+            None => Connection::New(target, self.count_open(id)),
         };
         let context = self.context.clone();
         let member = id.clone();
         compio::runtime::spawn(async move {
             let codec = context.options.codecs.member;
-            let result = compio::time::timeout(PROBE_TIMEOUT, ask(way, &codec)).await;
+            let result = compio::time::timeout(PROBE_TIMEOUT, ask(connection, &codec)).await;
             let result = result.unwrap_or(Err(RelayError::Timeout));
             context.send(ServiceMessage::Probed {
                 member,
+                way,
                 asked_us,
                 result,
             });
@@ -88,6 +95,7 @@
     pub(super) fn probed(
         &mut self,
         id: &Name,
+        way: &Way,
         asked_us: u64,
         result: Result<(Link, StatusReport)>,
     ) {
@@ -104,6 +112,7 @@
                         failures = member.failures; "member regained"
                     );
                 }
+                member.note_answer(way);
                 member.failures = 0;
                 member.silent_since_us = None;
                 let is_held = report.held_term > report.term;
@@ -115,6 +124,21 @@
                 self.note_stuck(id, &report);
                 self.release(link, false, None);
             }
+            // The best way is only tried while another one works.
+            Err(error) if *way != *member.way() => {
+                decision!(
+                    "dependency", service = &*self.context.service, member = &**id,
+                    through = way.through(), reason = error.to_string(); "way tried in vain"
+                );
+            }
+            // The VM on the way does not reach it, but is well.
+            Err(RelayError::Refused {
+                class: ErrorClass::WrongMember,
+            }) if *way != Way::Direct => {
+                member.use_next_way();
+                member.next_probe_ms = now_ms + REFUSED_PAUSE_MS;
+                self.want_probe(id, asked_us);
+            }
             // It answers, but has too much to do.
             Err(RelayError::Refused { class }) if is_full(class) => {
                 member.next_probe_ms = now_ms + FAILED_PAUSE_MS;
@@ -123,9 +147,10 @@
                 if member.failures == 0 {
                     decision!(
                         "dependency", service = &*self.context.service, member = &**id,
-                        reason = error.to_string(); "member lost"
+                        through = way.through(), reason = error.to_string(); "member lost"
                     );
                 }
+                member.use_next_way();
                 member.failures += 1;
                 member.silent_since_us.get_or_insert(asked_us);
                 member.next_probe_ms = now_ms + FAILED_PAUSE_MS;
@@ -191,7 +216,7 @@
     }
 
     /// Asks unless a report asked for after `since_us` is there or on its way.
-    fn want_report_since(&mut self, id: &Name, since_us: u64) {
+    pub(super) fn want_report_since(&mut self, id: &Name, since_us: u64) {
         let Some(member) = self.members.get(id) else {
             return;
         };
@@ -273,16 +298,16 @@
     matches!(class, ErrorClass::Busy | ErrorClass::ConnectionLimit)
 }
 
-/// How a member is reached for a question.
-enum Way {
+/// The connection that a question goes on.
+enum Connection {
     Open(Box<Link>),
     New(Target, Permit),
 }
 
-async fn ask(way: Way, codec: &MemberCodec) -> Result<(Link, StatusReport)> {
-    let mut link = match way {
-        Way::Open(link) => *link,
-        Way::New(target, permit) => open(target, *codec, permit).await?,
+async fn ask(connection: Connection, codec: &MemberCodec) -> Result<(Link, StatusReport)> {
+    let mut link = match connection {
+        Connection::Open(link) => *link,
+        Connection::New(target, permit) => open(target, *codec, permit).await?,
     };
     let report = exchange::report(&mut link, codec, &MemberRequest::Status).await?;
     Ok((link, report))
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -152,6 +152,7 @@
             target: Target {
                 service: self.context.service.clone(),
                 member: id.clone(),
+                way: Way::Direct,
                 address: m.entry.address,
             },
             is_primary: self.primary.as_ref() == Some(id),
--- /dev/null
+++ b/src/relay/service/ways.rs
@@ -0,0 +1,72 @@
+//! Ways to the members: direct, or through VMs that hold connections to them.
+
+use super::*;
+use crate::decide::holders::{holders, ways};
+
+impl Service {
+    pub(super) fn change_vms(&mut self, vms: Rc<Vms>) {
+        self.vms = vms;
+        self.find_ways();
+    }
+
+    pub(super) fn change_entry(&mut self, entry: ServiceEntry) {
+        if self.entry != entry {
+            self.entry = entry;
+            self.find_ways();
+        }
+    }
+
+    /// Finds the ways to all members anew.
+    pub(super) fn find_ways(&mut self) {
+        if self.vms.places.is_empty() {
+            return;
+        }
+        let places = &self.vms.places;
+        let connections_max = self.entry.connections_max;
+        let own = &self.context.options.vm;
+        let zone = &self.context.options.zone;
+        let zones: BTreeSet<&Name> = places.values().map(|place| &place.zone).collect();
+        let in_zone = places.values().filter(|place| place.zone == *zone).count();
+        for (id, member) in &mut self.members {
+            let chosen = holders(id, connections_max, places, zone);
+            let holders = chosen.map_or(in_zone, |chosen| chosen.len());
+            let before = member.way().clone();
+            let ways = ways(own, id, connections_max, places);
+            member.set_ways(ways, zones.len(), holders);
+            if before != *member.way() {
+                decision!(
+                    "placement", service = &*self.context.service, member = &**id,
+                    through = member.way().through(), before = before.through(),
+                    holders = holders, vms = places.len(); "way to a member"
+                );
+            }
+        }
+    }
+
+    /// Where a member is reached by the way in use.
+    pub(super) fn target(&self, id: &Name) -> Option<Target> {
+        let member = self.members.get(id)?;
+        self.target_by(id, member.way())
+    }
+
+    pub(super) fn target_by(&self, id: &Name, way: &Way) -> Option<Target> {
+        let member = self.members.get(id)?;
+        let address = match way {
+            Way::Direct => member.entry.address,
+            Way::Through(vm) => *self.vms.addresses.get(vm)?,
+        };
+        Some(Target {
+            service: self.context.service.clone(),
+            member: id.clone(),
+            way: way.clone(),
+            address,
+        })
+    }
+
+    /// Whether this VM itself reaches a member, so that others may send
+    /// statements through it.
+    pub(super) fn reaches(&self, id: &Name) -> bool {
+        let member = self.members.get(id);
+        member.is_some_and(|m| *m.way() == Way::Direct && m.failures == 0)
+    }
+}
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -6,7 +6,7 @@
 
 use super::*;
 use crate::relay::{
-    Access, Consistency, MemberCodec, MemberRequest, StatusReport, exchange,
+    Access, Consistency,
     link::Link,
     message::{Acquire, Freshness, Granted, Refused, ServiceMessage, Want},
 };
@@ -20,21 +20,6 @@
 /// rest is for running it.
 const WAIT_SHARE: f64 = 0.75;
 
-/// A statement on its way to a member.
-pub(super) struct Call<'a> {
-    pub(super) statement: &'a Statement,
-    pub(super) shape: Option<&'a Shape>,
-    pub(super) after: Option<Position>,
-    /// Whether the member is asked for a report right after it.
-    pub(super) wants_report: bool,
-}
-
-/// What an attempt brought.
-pub(super) struct Outcome {
-    pub(super) answer: Answer,
-    pub(super) report: Option<StatusReport>,
-}
-
 /// Whether a statement writes.
 pub(super) fn is_write(statement: &Statement, shape: Option<&Shape>) -> bool {
     match (&statement.kind, shape) {
@@ -44,80 +29,12 @@
     }
 }
 
-/// Sends a statement with what it needs of the session, and reads the answer.
-pub(super) async fn run(
-    link: &mut Link,
-    codec: &MemberCodec,
-    values: &Values,
-    call: &Call<'_>,
-) -> Result<Outcome> {
-    let mut output = BytesMut::new();
-    let skipped = exchange::put_session(&mut output, codec, link, values, call.shape);
-    let statement = call.statement;
-    match (&statement.kind, call.shape) {
-        (StatementKind::Execute { arguments, .. }, Some(shape)) => (codec.encode)(
-            &mut output,
-            &MemberRequest::Execute {
-                id: &statement.id,
-                after: call.after,
-                name: &shape.name,
-                arguments,
-            },
-        ),
-        _ => (codec.encode)(
-            &mut output,
-            &MemberRequest::Caller {
-                id: &statement.id,
-                after: call.after,
-                text: &statement.text,
-            },
-        ),
-    }
-    if call.wants_report {
-        (codec.encode)(&mut output, &MemberRequest::Status);
-    }
-    link.socket.write(output).await?;
-    exchange::skip_answers(link, codec, skipped).await?;
-    let answer = exchange::read_answer(link, codec).await?;
-    if !call.wants_report {
-        let report = None;
-        return Ok(Outcome { answer, report });
-    }
-    let second = exchange::read_answer(link, codec).await?;
-    // A member that is too busy to report proves nothing.
-    let report = (codec.report)(&second.body).ok();
-    Ok(Outcome { answer, report })
-}
-
-/// Begins a transaction on a connection that has the session's values.
-pub(super) async fn begin(
-    link: &mut Link,
-    codec: &MemberCodec,
-    values: &Values,
-    after: Option<Position>,
-    is_read_only: bool,
-) -> Result<Answer> {
-    let mut output = BytesMut::new();
-    let skipped = exchange::put_session(&mut output, codec, link, values, None);
-    let request = MemberRequest::Begin {
-        after,
-        is_read_only,
-    };
-    (codec.encode)(&mut output, &request);
-    link.socket.write(output).await?;
-    exchange::skip_answers(link, codec, skipped).await?;
-    exchange::read_answer(link, codec).await
-}
-
 /// A proof that was asked for.
 pub(super) type Proof = oneshot::Receiver<Option<u64>>;
 
 impl Session<'_> {
     pub(super) fn send(&self, service: &Name, message: ServiceMessage) {
-        if let Some(mailbox) = self.shared.service(service) {
-            // The task ends only with the process.
-            let _ = mailbox.send(message);
-        }
+        self.shared.send(service, message);
     }
 
     /// How fresh a log must be for reads on a route; `None` where only a
@@ -237,16 +154,8 @@
         self.send(&route.service, ServiceMessage::Committed);
     }
 
-    /// What follows for the service from an answer that says it was not run.
     pub(super) fn note_refusal(&self, service: &Name, member: &Name, class: ErrorClass) {
-        let member = member.clone();
-        match class {
-            ErrorClass::ReadOnly => self.send(service, ServiceMessage::NotPrimary { member }),
-            ErrorClass::Lagging => self.send(service, ServiceMessage::Behind { member }),
-            ErrorClass::Busy => self.send(service, ServiceMessage::Full { member }),
-            ErrorClass::WrongMember => self.suspect(service, &member, false),
-            _ => {}
-        }
+        self.shared.note_refusal(service, member, class);
     }
 }
 
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -1,13 +1,14 @@
 //! Statements outside transactions.
 
 use super::{
-    attempt::{Call, Outcome, is_not_run, is_write, refused, run},
+    attempt::{is_not_run, is_write, refused},
     *,
 };
 use crate::{
     decide::retry::Backoff,
     relay::{
         Consistency, StatusReport,
+        exchange::{Call, Outcome, run},
         message::{Granted, ServiceMessage, Want},
     },
 };
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -1,12 +1,13 @@
 //! Statements inside transactions, and their ends.
 
 use super::{
-    attempt::{Call, begin, is_not_run, is_write, refused, run},
+    attempt::{is_not_run, is_write, refused},
     autocommit::{in_doubt, left_ms, out_of_time},
     *,
 };
 use crate::relay::{
     Consistency,
+    exchange::{Call, begin, run},
     link::Link,
     message::{Granted, Want},
 };
--- a/src/relay/session/wait.rs
+++ b/src/relay/session/wait.rs
@@ -54,7 +54,7 @@
     /// Time at which the session or its transaction must end, in milliseconds.
     fn due_ms(&self, stop_ms: Option<u64>, end_spread_ms: u64) -> Option<u64> {
         let open = self.transaction.as_ref().filter(|t| t.link.is_some());
-        let idle_ms = open.map(|_| clock::boot_ms() + self.transaction_idle_ms());
+        let idle_ms = open.map(|_| clock::boot_ms() + self.shared.transaction_idle_ms());
         let Some(stop_ms) = stop_ms else {
             return idle_ms;
         };
@@ -65,13 +65,6 @@
         Some(stop_ms + STOP_LINGER_MS + end_spread_ms)
     }
 
-    fn transaction_idle_ms(&self) -> u64 {
-        let catalog = self.shared.catalog.borrow();
-        catalog
-            .as_ref()
-            .map_or(u64::MAX / 2, |c| c.limits.transaction_idle_ms)
-    }
-
     /// Ends what is due; `true` if that is the session.
     pub(super) fn end_due(&mut self) -> bool {
         if self.shared.stopping.borrow().is_some() {
--- a/tests/decide_relay.rs
+++ b/tests/decide_relay.rs
@@ -7,6 +7,7 @@
         admission::AdmissionQueue,
         age::{AgeTracker, is_floor_due},
         dispatch::{ConnectionBudget, ReadCandidate, choose_reader, is_cut_off, shares},
+        holders::{VmPlace, Way, holders, ways},
         standing::{Standing, Testimony, received_by_others, standing, testimonies_needed},
         takeover::{
             Candidate, Choice, Fenced, PrimaryHealth, Reason, Stuck, TakeoverSettings, WaitReason,
@@ -16,6 +17,7 @@
     },
     lsn::Lsn,
     position::Position,
+    prelude::Name,
 };
 use yare::parameterized;
 
@@ -157,10 +159,9 @@
 /// A zone with few VMs gives each a larger share.
 #[test]
 fn shares_by_zone() {
-    let vms: BTreeMap<Arc<str>, usize> = [("a".into(), 7), ("b".into(), 4), ("c".into(), 2)].into();
-    assert_eq!(shares(&vms, &"a".into()), 21);
-    assert_eq!(shares(&vms, &"c".into()), 6);
-    assert_eq!(shares(&vms, &"unknown".into()), 3);
+    assert_eq!(shares(3, 7), 21);
+    assert_eq!(shares(3, 2), 6);
+    assert_eq!(shares(3, 0), 3);
 }
 
 /// A full member is given fewer requests, and more again as it answers.
@@ -324,3 +325,78 @@
     assert!(!stuck.note_replica(at(1, 6), 3_400));
     assert_eq!(stuck.stuck_ms(3_900), 900);
 }
+
+fn vms(zones: &[(&str, usize, f64)]) -> BTreeMap<Name, VmPlace> {
+    let mut vms = BTreeMap::new();
+    for (zone, count, weight) in zones {
+        for number in 0..*count {
+            let place = VmPlace {
+                zone: (*zone).into(),
+                weight: *weight,
+            };
+            vms.insert(format!("{zone}-{number}-{weight}").into(), place);
+        }
+    }
+    vms
+}
+
+#[parameterized(
+    few_vms = { 48, 7, None },
+    as_many_as_connections = { 48, 12, None },
+    more_than_connections = { 48, 13, Some(3) },
+    hundreds = { 48, 300, Some(3) },
+    very_few_connections = { 4, 10, Some(1) },
+)]
+fn holders_of_a_zone(connections_max: usize, in_zone: usize, expected: Option<usize>) {
+    let vms = vms(&[("a", in_zone, 1.0), ("b", 2, 1.0), ("c", 4, 1.0)]);
+    let chosen = holders("m", connections_max, &vms, &"a".into());
+    assert_eq!(chosen.map(|chosen| chosen.len()), expected);
+}
+
+/// Holders are chosen in proportion to their power, and differ by member.
+#[test]
+fn strong_vms_hold_more() {
+    let vms = vms(&[("a", 2, 0.5), ("a", 16, 0.084), ("b", 18, 0.1)]);
+    let mut strong = 0;
+    let mut all = 0;
+    for member in 0..500 {
+        let chosen = holders(&format!("m{member}"), 10, &vms, &"a".into()).unwrap();
+        strong += chosen.iter().filter(|vm| vm.ends_with("-0.5")).count();
+        all += chosen.len();
+    }
+    let share = strong as f64 / all as f64;
+    let power = 1.0 / (1.0 + 16.0 * 0.084);
+    assert!((share - power).abs() < 0.08, "{share} of {power}");
+}
+
+/// A VM that leaves moves only what it held.
+#[test]
+fn holders_stay_when_another_vm_leaves() {
+    let before = vms(&[("a", 20, 1.0)]);
+    let chosen = holders("m", 20, &before, &"a".into()).unwrap();
+    for vm in before.keys().filter(|vm| !chosen.contains(vm)) {
+        let mut after = before.clone();
+        after.remove(vm);
+        assert_eq!(holders("m", 20, &after, &"a".into()).unwrap(), chosen);
+    }
+}
+
+#[test]
+fn holders_go_themselves_and_others_through_them() {
+    let vms = vms(&[("a", 30, 1.0), ("b", 30, 1.0)]);
+    for vm in vms.keys() {
+        let zone = &vms[vm].zone;
+        let chosen = holders("m", 30, &vms, zone).unwrap();
+        let ways = ways(vm, "m", 30, &vms);
+        match chosen.contains(vm) {
+            true => assert_eq!(ways[0], Way::Direct),
+            false => {
+                assert!(matches!(&ways[0], Way::Through(other) if chosen.contains(other)));
+                assert_eq!(ways.last(), Some(&Way::Direct));
+            }
+        }
+        assert!(ways.iter().all(|way| way.through() != &**vm));
+        assert!(ways.len() >= 3, "{ways:?}");
+    }
+    assert_eq!(ways(&"unknown".into(), "m", 30, &vms), [Way::Direct]);
+}
