--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -124,14 +124,14 @@
     (connections_max as f64 * FAIR_SHARE) as usize
 }
 
-/// The part of them that a zone gets: callers come to the VMs of their own
-/// zone, so the zones share first.
-pub fn dealt_to_zone(connections_max: usize, zones: usize) -> usize {
-    dealt(connections_max) / zones.max(1)
+/// The part of them that a region gets: callers come to VMs that are near, so
+/// the regions share first.
+pub fn dealt_to_region(connections_max: usize, regions: usize) -> usize {
+    dealt(connections_max) / regions.max(1)
 }
 
 /// Equal shares that the connections to a member are dealt out in, as seen
-/// from a zone in which `holders` VMs hold connections.
-pub fn shares(zones: usize, holders: usize) -> usize {
-    zones.max(1) * holders.max(1)
+/// from a region in which `holders` VMs hold connections.
+pub fn shares(regions: usize, holders: usize) -> usize {
+    regions.max(1) * holders.max(1)
 }
--- a/src/decide/holders.rs
+++ b/src/decide/holders.rs
@@ -1,17 +1,18 @@
 //! Which VMs hold connections to a member, and the ways by which others reach it.
 //!
-//! Connections to a member are few, VMs may be many. Where each VM of a zone
+//! Connections to a member are few, VMs may be many. Where each VM of a region
 //! can have one of its own, all do; otherwise a few of them hold all of the
-//! zone's connections and the others send their statements through those.
+//! region's connections and the others send their statements through those.
 
 use std::cmp::Ordering;
 
-use super::{dispatch::dealt_to_zone, placement::score};
+use super::{dispatch::dealt_to_region, placement::score};
 use crate::prelude::*;
 
-/// Fewest connections that a holder has: enough for a member's slots and a
-/// transaction that pauses.
-const HOLDER_CONNECTIONS: usize = 4;
+/// Fewest connections that a holder has. A pool is exhausted by chance less
+/// often the larger it is: with half of them held by transactions that pause, a
+/// pool of 4 is full for a tenth of the requests, one of 16 for hardly any.
+const HOLDER_CONNECTIONS: usize = 16;
 /// Ways through other VMs that are kept besides the first choice.
 const SPARE_WAYS: usize = 4;
 /// Index of the score that chooses holders, among those of a key.
@@ -24,6 +25,8 @@
 pub struct VmPlace {
     /// Availability zone.
     pub zone: Name,
+    /// Region of the zone.
+    pub region: Name,
     /// Its power, relative to that of others.
     pub weight: f64,
 }
@@ -47,8 +50,8 @@
     }
 }
 
-/// Chooses the VMs of a zone that hold connections to a member; `None` if each
-/// VM of the zone may.
+/// Chooses the VMs of a region that hold connections to a member; `None` if each
+/// VM of the region may.
 ///
 /// Weighted rendezvous hashing: a VM is chosen in proportion to its weight, and
 /// one that joins or leaves moves only what it holds.
@@ -56,23 +59,24 @@
     member: &str,
     connections_max: usize,
     vms: &BTreeMap<Name, VmPlace>,
-    zone: &Name,
+    region: &Name,
 ) -> Option<Vec<Name>> {
-    let zones: BTreeSet<&Name> = vms.values().map(|vm| &vm.zone).collect();
-    let dealt = dealt_to_zone(connections_max, zones.len());
-    let in_zone: Vec<(&Name, &VmPlace)> = vms.iter().filter(|(_, vm)| vm.zone == *zone).collect();
-    if in_zone.len() <= dealt.max(1) {
+    let regions: BTreeSet<&Name> = vms.values().map(|vm| &vm.region).collect();
+    let dealt = dealt_to_region(connections_max, regions.len());
+    let here = vms.iter().filter(|(_, vm)| vm.region == *region);
+    let here: Vec<(&Name, &VmPlace)> = here.collect();
+    if here.len() <= dealt.max(1) {
         return None;
     }
     let count = (dealt / HOLDER_CONNECTIONS).max(1);
-    Some(ranked(member, AS_HOLDER, in_zone, count))
+    Some(ranked(member, AS_HOLDER, here, count))
 }
 
 /// Ways by which the VM `own` reaches a member, best first.
 ///
 /// A holder goes itself, and through others while it is cut off from the
-/// member. Any other VM goes through holders of its zone, then of other zones,
-/// and itself only when none of them answers.
+/// member. Any other VM goes through holders of its region, then of others, and
+/// itself only when none of them answers.
 pub fn ways(
     own: &Name,
     member: &str,
@@ -84,18 +88,22 @@
     };
     // Each VM ranks the others differently, so that the load spreads.
     let key = format!("{own}/{member}");
-    let holders_in = |zone: &Name| -> Vec<(&Name, &VmPlace)> {
-        let chosen = holders(member, connections_max, vms, zone);
-        let in_zone = vms.iter().filter(|(vm, p)| p.zone == *zone && *vm != own);
+    let holders_in = |region: &Name| -> Vec<(&Name, &VmPlace)> {
+        let chosen = holders(member, connections_max, vms, region);
+        let here = vms
+            .iter()
+            .filter(|(vm, p)| p.region == *region && *vm != own);
         let holds = |vm: &Name| chosen.as_ref().is_none_or(|chosen| chosen.contains(vm));
-        in_zone.filter(|(vm, _)| holds(vm)).collect()
+        here.filter(|(vm, _)| holds(vm)).collect()
     };
-    let own_holders = holders(member, connections_max, vms, &place.zone);
+    let own_holders = holders(member, connections_max, vms, &place.region);
     let is_holder = own_holders.is_none_or(|chosen| chosen.contains(own));
-    let zones: BTreeSet<&Name> = vms.values().map(|vm| &vm.zone).collect();
-    let others = zones.into_iter().filter(|zone| **zone != place.zone);
+    let regions: BTreeSet<&Name> = vms.values().map(|vm| &vm.region).collect();
+    let others = regions
+        .into_iter()
+        .filter(|region| **region != place.region);
     let far: Vec<(&Name, &VmPlace)> = others.flat_map(holders_in).collect();
-    let near = ranked(&key, AS_WAY, holders_in(&place.zone), SPARE_WAYS / 2);
+    let near = ranked(&key, AS_WAY, holders_in(&place.region), SPARE_WAYS / 2);
     let far = ranked(&key, AS_WAY, far, SPARE_WAYS - near.len());
     let through = near.into_iter().chain(far).map(Way::Through);
     match is_holder {
--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -125,6 +125,12 @@
     pub missing_ms: u64,
     /// Whether the other members answer: otherwise this VM is cut off itself.
     pub others_answer: bool,
+    /// Whether this VM is to go to the primary itself. Silence at the end of
+    /// another VM's connections may be that VM's.
+    pub goes_itself: bool,
+    /// Whether this VM is to go to any of the members itself: many others only
+    /// go through such VMs, and leave the service to them.
+    pub looks_after: bool,
 }
 
 /// A commit that waits at a primary which answers.
@@ -201,13 +207,14 @@
 
 /// Decides whether the primary is to be replaced.
 pub fn doubt(health: &PrimaryHealth, settings: &TakeoverSettings) -> Option<Reason> {
-    if !health.others_answer {
+    if !health.others_answer || !health.looks_after {
         return None;
     }
     if !health.is_known {
         return (health.missing_ms >= settings.missing_ms).then_some(Reason::NoPrimary);
     }
-    if health.failures >= settings.failures && health.silent_ms >= settings.silent_ms {
+    let is_silent = health.failures >= settings.failures && health.silent_ms >= settings.silent_ms;
+    if is_silent && health.goes_itself {
         return Some(Reason::Silent);
     }
     if health.is_leaving {
--- a/src/relay/forward/conversation.rs
+++ b/src/relay/forward/conversation.rs
@@ -17,7 +17,7 @@
 
 /// Longest wait for a connection to the member, in milliseconds: the VM that
 /// asks needs time to try another way.
-const WAIT_MS: u64 = 400;
+const WAIT_MS: u64 = 250;
 /// Priority among the requests for the member: the VM that asks has ordered its
 /// own by that of their routes.
 const PRIORITY: u32 = 1;
@@ -138,6 +138,11 @@
         let report = match report.await.unwrap_or(Err(NoReport::NotReached)) {
             Ok(report) => report,
             Err(NoReport::Silent) => return false,
+            Err(NoReport::Busy) => {
+                let text = "the member has too much to do";
+                self.put_error(ErrorClass::Busy, text, output);
+                return true;
+            }
             Err(NoReport::NotReached) => {
                 let text = "this VM does not go to the member itself";
                 self.put_error(ErrorClass::WrongMember, text, output);
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -89,6 +89,8 @@
     pub probing_us: Option<u64>,
     /// A report must be asked for after this time, in microseconds.
     pub probe_after_us: Option<u64>,
+    /// Time since which a question waits, in microseconds.
+    pub probe_wanted_us: Option<u64>,
     /// Questions in a row that were not answered.
     pub failures: u32,
     /// Time of the first of them, in microseconds.
@@ -127,6 +129,7 @@
             report: None,
             probing_us: None,
             probe_after_us: None,
+            probe_wanted_us: None,
             failures: 0,
             silent_since_us: None,
             next_probe_ms: 0,
@@ -188,6 +191,12 @@
         let now_us = clock::boot_us();
         let recent = self.report.filter(|(at, _)| now_us < at + COUNT_AGE_US);
         match self.way() {
+            // What others hold for this VM is not for it to take as well.
+            Way::Direct if !self.is_own() => ConnectionBudget {
+                connections_max,
+                shares: connections_max,
+                reported: None,
+            },
             Way::Direct => ConnectionBudget {
                 connections_max,
                 shares: self.shares,
@@ -201,6 +210,11 @@
         }
     }
 
+    /// Whether this VM is to go there itself.
+    pub fn is_own(&self) -> bool {
+        self.ways[0] == Way::Direct
+    }
+
     /// The way in use.
     pub fn way(&self) -> &Way {
         &self.ways[self.way]
@@ -253,8 +267,8 @@
 
     /// Takes the ways that lead to it, and the shares of its connections. The
     /// way in use stays in use if it is still among them.
-    pub fn set_ways(&mut self, ways: Vec<Way>, zones: usize, holders: usize) {
-        self.shares = shares(zones, holders);
+    pub fn set_ways(&mut self, ways: Vec<Way>, regions: usize, holders: usize) {
+        self.shares = shares(regions, holders);
         if ways.is_empty() || ways == self.ways {
             return;
         }
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -96,6 +96,9 @@
 pub enum NoReport {
     /// The member does not answer this VM.
     Silent,
+    /// It has not answered in time, but before: it has much to do, or all
+    /// connections to it are in use.
+    Busy,
     /// This VM does not go to the member itself.
     NotReached,
 }
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -70,6 +70,11 @@
 }
 
 impl RelayOptions {
+    /// Its region; a zone of no region is one of its own.
+    pub fn region(&self) -> &Name {
+        self.regions.get(&self.zone).unwrap_or(&self.zone)
+    }
+
     /// Distance of a zone: 0 for the own one, 1 within the region, 2 beyond.
     pub fn distance(&self, zone: &Name) -> u32 {
         if *zone == self.zone {
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -13,6 +13,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between questions to a member that does not answer, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 100;
+/// Time for which a question waits for a connection while all are in use, in
+/// microseconds: a few statements.
+const FULL_WAIT_US: u64 = 150_000;
 /// Pause after another VM refused to stand for a member, in milliseconds.
 const REFUSED_PAUSE_MS: u64 = 20;
 /// Time after which all members are asked for a proof, not only the nearest,
@@ -25,6 +28,7 @@
     /// Asks a member for a report that is asked for after `since_us`.
     pub(super) fn want_probe(&mut self, id: &Name, since_us: u64) {
         if let Some(member) = self.members.get_mut(id) {
+            member.probe_wanted_us.get_or_insert_with(clock::boot_us);
             let wanted = member.probe_after_us.get_or_insert(since_us);
             *wanted = since_us.max(*wanted);
         }
@@ -60,12 +64,21 @@
         let Some(target) = self.target_by(id, &way) else {
             return;
         };
+        let limit = self.members.get(id).map_or(0, |m| self.limit(m));
         let Some(member) = self.members.get_mut(id) else {
             return;
         };
         let asked_us = clock::boot_us();
+        // All connections are in use; one is free again as a rule before it
+        // is worth to open one beyond the limit.
+        let is_full = member.idle.is_empty() && member.open >= limit;
+        let waits_since_us = member.probe_wanted_us.unwrap_or(0);
+        if is_full && member.failures == 0 && asked_us < waits_since_us + FULL_WAIT_US {
+            return;
+        }
         member.probing_us = Some(asked_us);
         member.probe_after_us = None;
+        member.probe_wanted_us = None;
         // A member that fails is asked on a new connection: the old ones may
         // have gone silent.
         let idle = match member.failures {
--- a/src/relay/service/reports.rs
+++ b/src/relay/service/reports.rs
@@ -5,9 +5,9 @@
 
 use super::*;
 
-/// Time after which a report is given up, in microseconds: the VM that asks
-/// gives up then, too.
-const REPORT_TIMEOUT_US: u64 = 400_000;
+/// Time after which a report is given up, in microseconds: shortly before the
+/// VM that asks gives up.
+const REPORT_TIMEOUT_US: u64 = 350_000;
 
 impl Service {
     /// Answers the requests for reports that can be answered.
@@ -40,7 +40,10 @@
             Some((asked_us, report)) if asked_us > pending.since_us => return Some(Ok(report)),
             _ => {}
         }
+        if member.failures > 0 {
+            return Some(Err(NoReport::Silent));
+        }
         let is_over = now_us >= pending.since_us + REPORT_TIMEOUT_US;
-        (is_over || member.failures > 0).then_some(Err(NoReport::Silent))
+        is_over.then_some(Err(NoReport::Busy))
     }
 }
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -72,6 +72,7 @@
             held_ms: held.map_or(0, |at| now_us.saturating_sub(at) / 1_000),
             stuck_ms: self.stuck.map_or(0, |stuck| stuck.stuck_ms(now_ms)),
             missing_ms: now_ms.saturating_sub(self.missing_since_ms),
+            looks_after: self.looks_after(),
             ..PrimaryHealth::default()
         };
         let Some((id, primary)) = self
@@ -87,6 +88,7 @@
         health.is_known = true;
         health.is_leaving = primary.is_going(now_ms);
         health.failures = primary.failures;
+        health.goes_itself = primary.is_own();
         health.silent_ms = since.map_or(0, |at| now_us.saturating_sub(at) / 1_000);
         health.others_answer = others.into_iter().any(|(_, m)| is_recent(m));
         health
--- a/src/relay/service/ways.rs
+++ b/src/relay/service/ways.rs
@@ -24,15 +24,16 @@
         let places = &self.vms.places;
         let connections_max = self.entry.connections_max;
         let own = &self.context.options.vm;
-        let zone = &self.context.options.zone;
-        let zones: BTreeSet<&Name> = places.values().map(|place| &place.zone).collect();
-        let in_zone = places.values().filter(|place| place.zone == *zone).count();
+        let region = self.context.options.region();
+        let regions: BTreeSet<&Name> = places.values().map(|place| &place.region).collect();
+        let here = places.values().filter(|place| place.region == *region);
+        let here = here.count();
         for (id, member) in &mut self.members {
-            let chosen = holders(id, connections_max, places, zone);
-            let holders = chosen.map_or(in_zone, |chosen| chosen.len());
+            let chosen = holders(id, connections_max, places, region);
+            let holders = chosen.map_or(here, |chosen| chosen.len());
             let before = member.way().clone();
             let ways = ways(own, id, connections_max, places);
-            member.set_ways(ways, zones.len(), holders);
+            member.set_ways(ways, regions.len(), holders);
             if before != *member.way() {
                 decision!(
                     "placement", service = &*self.context.service, member = &**id,
@@ -63,6 +64,12 @@
         })
     }
 
+    /// Whether this VM is one of those that look after the service: it goes to
+    /// some of the members itself.
+    pub(super) fn looks_after(&self) -> bool {
+        self.members.values().any(Member::is_own)
+    }
+
     /// Whether this VM itself reaches a member, so that others may send
     /// statements through it.
     pub(super) fn reaches(&self, id: &Name) -> bool {
