--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -97,16 +97,32 @@
     messages: &flume::Receiver<Result<ForwardMessage>>,
     conversation: &mut Conversation,
 ) -> Result<()> {
+    let mut early = None;
     loop {
         let limit = match conversation.is_in_transaction() {
             true => Duration::from_millis(shared.transaction_idle_ms()) + TRANSACTION_MARGIN,
             false => IDLE_TIMEOUT,
         };
-        let Some(message) = next(messages, limit).await? else {
+        let message = match early.take() {
+            Some(message) => Some(message),
+            None => next(messages, limit).await?,
+        };
+        let Some(message) = message else {
             return Ok(());
         };
         let mut output = BytesMut::new();
-        if !conversation.answer(message, &mut output).await? {
+        let is_going_on = match message {
+            ForwardMessage::Run { statement, after } => {
+                early = messages.try_recv().ok().transpose()?;
+                let wants_report = matches!(early, Some(ForwardMessage::Status));
+                early = early.filter(|_| !wants_report);
+                conversation
+                    .run(&statement, (after, wants_report), &mut output)
+                    .await?
+            }
+            message => conversation.answer(message, &mut output).await?,
+        };
+        if !is_going_on {
             return Ok(());
         }
         super::socket::write(writer, output).await?;
--- a/src/relay/forward/conversation.rs
+++ b/src/relay/forward/conversation.rs
@@ -7,8 +7,8 @@
     clock,
     metrics::label,
     relay::{
-        Answer, Statement, StatementKind,
-        exchange::{self, Call, begin, run},
+        Answer, Statement, StatementKind, StatusReport,
+        exchange::{Call, Outcome, begin, run},
         link::{Link, Values},
         message::{Acquire, NoReport, Refused, ServiceMessage, Want},
         prepared::Shape,
@@ -65,6 +65,9 @@
     pub async fn answer(&mut self, message: ForwardMessage, output: &mut BytesMut) -> Result<bool> {
         match message {
             ForwardMessage::Open { .. } | ForwardMessage::Close => return Ok(false),
+            ForwardMessage::Run { statement, after } => {
+                return self.run(&statement, (after, false), output).await;
+            }
             ForwardMessage::Set { name, value } => {
                 Rc::make_mut(&mut self.values).insert(name, value);
                 self.put_done(output);
@@ -89,9 +92,6 @@
                 after,
                 is_read_only,
             } => self.begin(after, is_read_only, output).await?,
-            ForwardMessage::Run { statement, after } => {
-                self.run(&statement, after, output).await?;
-            }
         }
         Ok(true)
     }
@@ -149,9 +149,7 @@
                 return true;
             }
         };
-        let codecs = &self.shared.options.codecs;
-        (codecs.forward.report)(output, &report);
-        (codecs.caller.ready)(output, self.state(), None);
+        self.put_report(&report, output);
         true
     }
 
@@ -175,19 +173,25 @@
         Ok(())
     }
 
-    async fn run(
+    /// Runs a statement, and asks for a report right behind it on the same
+    /// connection if that is wanted; `false` if the connection ends.
+    ///
+    /// # Errors
+    ///
+    /// As [`Conversation::answer`].
+    pub async fn run(
         &mut self,
         statement: &Statement,
-        after: Option<Position>,
+        (after, wants_report): (Option<Position>, bool),
         output: &mut BytesMut,
-    ) -> Result<()> {
+    ) -> Result<bool> {
         let shape = match &statement.kind {
             StatementKind::Execute { name, .. } => {
                 let name = String::from_utf8_lossy(name);
                 let Some(shape) = self.prepared.get(&*name) else {
                     let text = "no such prepared statement";
                     self.put_error(ErrorClass::NoStatement, text, output);
-                    return Ok(());
+                    return self.report_if(wants_report, output).await;
                 };
                 Some(shape.clone())
             }
@@ -200,7 +204,7 @@
                 Ok(link) => link,
                 Err(refusal) => {
                     self.put_refusal(&refusal, output);
-                    return Ok(());
+                    return self.report_if(wants_report, output).await;
                 }
             },
         };
@@ -208,12 +212,12 @@
             statement,
             shape: shape.as_ref(),
             after,
-            wants_report: false,
+            wants_report,
         };
         let sent_us = clock::boot_us();
         let codec = self.shared.options.codecs.member;
         let ran = run(&mut link, &codec, &self.values, &call).await;
-        let exchange::Outcome { answer, .. } = ran.inspect_err(|_| self.suspect())?;
+        let Outcome { answer, report } = ran.inspect_err(|_| self.suspect())?;
         let took_us = clock::boot_us() - sent_us;
         decision!(
             "forward", request = String::from_utf8_lossy(&statement.id),
@@ -221,7 +225,30 @@
             outcome = answer.error.map_or("done", Into::into); "statement forwarded"
         );
         self.conclude(link, &answer, is_alone.then_some(took_us), output);
-        Ok(())
+        match report {
+            Some(report) => self.put_report(&report, output),
+            None if wants_report => {
+                let text = "the member has too much to do";
+                self.put_error(ErrorClass::Busy, text, output);
+            }
+            None => {}
+        }
+        Ok(true)
+    }
+
+    /// Answers a request for a report that follows a statement which did not
+    /// reach the member.
+    async fn report_if(&self, wants_report: bool, output: &mut BytesMut) -> Result<bool> {
+        match wants_report {
+            true => Ok(self.report(output).await),
+            false => Ok(true),
+        }
+    }
+
+    fn put_report(&self, report: &StatusReport, output: &mut BytesMut) {
+        let codecs = &self.shared.options.codecs;
+        (codecs.forward.report)(output, report);
+        (codecs.caller.ready)(output, self.state(), None);
     }
 
     /// Passes an answer on, and keeps the connection while a transaction is open.
