--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -47,6 +47,11 @@
 /// for this VM, and more only while the member reports room.
 const UNCOUNTED_SHARES: usize = usize::MAX;
 
+/// Time within which a member that has come back under another id is listed and
+/// has answered, in milliseconds; after that the address is taken for used again
+/// by somebody else.
+const DISPLACED_MS: u64 = 3_000;
+
 /// Part of the time to drain that is kept back, in milliseconds: for news that
 /// come late, and for requests on their way.
 const DRAIN_MARGIN_MS: u64 = 1_500;
@@ -95,6 +100,8 @@
     pub failures: u32,
     /// Time of the first of them, in microseconds.
     pub silent_since_us: Option<u64>,
+    /// Time since which its address answers as another member, in milliseconds.
+    pub displaced_since_ms: Option<u64>,
     /// Time before which it is not asked again, in milliseconds.
     pub next_probe_ms: u64,
     /// Time before which no connection is opened, in milliseconds.
@@ -132,6 +139,7 @@
             probe_wanted_us: None,
             failures: 0,
             silent_since_us: None,
+            displaced_since_ms: None,
             next_probe_ms: 0,
             open_after_ms: 0,
             mean_ms: FIRST_MEAN_MS[distance.min(2) as usize],
@@ -173,6 +181,12 @@
         self.failures > 0 && since_ms.is_some_and(|at| now_ms >= at + GONE_MS)
     }
 
+    /// Whether its address has answered as another member for some time.
+    pub fn is_displaced(&self, now_ms: u64) -> bool {
+        let since_ms = self.displaced_since_ms;
+        since_ms.is_some_and(|at| now_ms >= at + DISPLACED_MS)
+    }
+
     /// Whether it neither answers nor is listed any longer.
     pub fn is_lost(&self, now_ms: u64) -> bool {
         let is_unlisted = self.unlisted_since_ms.is_some();
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -128,6 +128,7 @@
                 member.note_answer(way);
                 member.failures = 0;
                 member.silent_since_us = None;
+                member.displaced_since_ms = None;
                 let is_held = report.held_term > report.term;
                 member.held_since_us = match is_held {
                     true => member.held_since_us.or(Some(asked_us)),
@@ -163,6 +164,10 @@
                         through = way.through(), reason = error.to_string(); "member lost"
                     );
                 }
+                let is_other = ErrorClass::WrongMember;
+                if matches!(error, RelayError::Refused { class } if class == is_other) {
+                    member.displaced_since_ms.get_or_insert(now_ms);
+                }
                 member.use_next_way();
                 member.failures += 1;
                 member.silent_since_us.get_or_insert(asked_us);
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -160,6 +160,7 @@
             is_primary: self.primary.as_ref() == Some(id),
             is_leaving: m.is_going(now_ms),
             is_gone: m.is_gone(now_ms),
+            is_displaced: m.is_displaced(now_ms),
         });
         let held = self.members.values().filter_map(|m| m.report);
         let highest = held.map(|(_, r)| r.term.max(r.held_term)).max();
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -4,7 +4,8 @@
 use rand::Rng;
 
 use super::{
-    Claim, MemberCodec, MemberRequest, PromoteOutcome, Promotion, Result, StatusReport, exchange,
+    Claim, ErrorClass, MemberCodec, MemberRequest, PromoteOutcome, Promotion, RelayError, Result,
+    StatusReport, exchange,
     message::ServiceMessage,
     open::{Target, open},
     service::ServiceContext,
@@ -48,6 +49,9 @@
     pub is_leaving: bool,
     /// Whether it is gone for good.
     pub is_gone: bool,
+    /// Whether its address has answered as another member for so long that this
+    /// one, with its log, is not known by another id.
+    pub is_displaced: bool,
 }
 
 /// What an attempt starts from.
@@ -109,7 +113,8 @@
     let mut refused = BTreeSet::new();
     let mut round = 0;
     while clock::boot_ms() < started_ms + ATTEMPT_MS {
-        if !fence(plan, &mut fenced).await {
+        let fencing = fence(plan, &mut fenced).await;
+        if fencing == Fencing::Outdated {
             break;
         }
         round += 1;
@@ -124,6 +129,13 @@
             compio::time::sleep(ROUND_PAUSE).await;
             continue;
         };
+        if plan.is_primary(&member) && fencing == Fencing::Returned {
+            decision!(
+                "takeover", service = &*plan.context.service, fence = claim.fence;
+                "a member has returned under another id: it may hold the commits"
+            );
+            break;
+        }
         if plan.is_primary(&member) && round < CATCH_UP_ROUNDS {
             compio::time::sleep(ROUND_PAUSE).await;
             continue;
@@ -161,26 +173,39 @@
     Fenced(Name, Fenced),
     /// The member leads without being the one that is replaced.
     Leads,
+    /// Another member answers at its address, since a moment ago.
+    Returned,
     Missed,
 }
 
-/// Orders all members that are not fenced yet to stop, at once. `false` if
-/// another member leads already: the plan is outdated then.
-async fn fence(plan: &TakeoverPlan, fenced: &mut BTreeMap<Name, Fenced>) -> bool {
+/// What the orders to stop showed of the plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fencing {
+    /// It is as the members are.
+    Current,
+    /// A member has come back under an id that the plan does not know.
+    Returned,
+    /// Another member leads already.
+    Outdated,
+}
+
+/// Orders all members that are not fenced yet to stop, at once.
+async fn fence(plan: &TakeoverPlan, fenced: &mut BTreeMap<Name, Fenced>) -> Fencing {
     let open = plan.rivals.iter();
     let open = open.filter(|r| !fenced.contains_key(&r.target.member));
     let orders = join_all(open.map(|rival| order_to_stop(plan, rival))).await;
-    let mut is_current = true;
+    let mut fencing = Fencing::Current;
     for order in orders {
         match order {
             Order::Fenced(member, answer) => {
                 fenced.insert(member, answer);
             }
-            Order::Leads => is_current = false,
+            Order::Leads => return Fencing::Outdated,
+            Order::Returned => fencing = Fencing::Returned,
             Order::Missed => {}
         }
     }
-    is_current
+    fencing
 }
 
 async fn order_to_stop(plan: &TakeoverPlan, rival: &Rival) -> Order {
@@ -197,7 +222,16 @@
                 "takeover", service = &*plan.context.service, member = &**member,
                 reason = error.to_string(); "member not reached"
             );
-            return Order::Missed;
+            let is_other = matches!(
+                error,
+                RelayError::Refused {
+                    class: ErrorClass::WrongMember
+                }
+            );
+            return match is_other && !rival.is_displaced {
+                true => Order::Returned,
+                false => Order::Missed,
+            };
         }
     };
     if is_fenced(plan, rival, &report) {
@@ -255,7 +289,7 @@
         exchange::report(&mut link, &codec, order).await
     };
     let answered = compio::time::timeout(ORDER_TIMEOUT, call).await;
-    answered.unwrap_or(Err(super::RelayError::Timeout))
+    answered.unwrap_or(Err(RelayError::Timeout))
 }
 
 async fn promote(plan: &TakeoverPlan, claim: &Claim, member: &Name) -> PromoteOutcome {
