--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -7,6 +7,7 @@
 use super::{
     ErrorClass, MemberEntry, Result, ServiceEntry, StatusReport, Vms,
     link::{Link, Values},
+    takeover::Rival,
 };
 use crate::{decide::holders::Way, prelude::*};
 
@@ -202,6 +203,11 @@
     Vms(Rc<Vms>),
     /// The configuration of the service.
     Entry(ServiceEntry),
+    /// An attempt to replace the primary asks for the members as they are now.
+    Rivals {
+        /// Answer.
+        reply: oneshot::Sender<Vec<Rival>>,
+    },
     /// An attempt to replace the primary has ended.
     TakeoverEnded {
         /// Member that leads now, if any was promoted.
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -215,6 +215,10 @@
             ServiceMessage::Members { members } => self.change_members(members),
             ServiceMessage::Vms(vms) => self.change_vms(vms),
             ServiceMessage::Entry(entry) => self.change_entry(entry),
+            ServiceMessage::Rivals { reply } => {
+                // The attempt may have ended.
+                let _ = reply.send(self.rivals());
+            }
             ServiceMessage::TakeoverEnded { promoted } => self.takeover_ended(promoted),
         }
     }
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -111,7 +111,7 @@
             }
             (Takeover::Due { .. }, None) => self.takeover = Takeover::Calm,
             (Takeover::Due { reason, start_ms }, Some(_)) if now_ms >= start_ms => {
-                self.start_takeover(reason, &health, now_ms);
+                self.start_takeover(reason, &health);
             }
             _ => {}
         }
@@ -141,15 +141,9 @@
         }
     }
 
-    fn start_takeover(&mut self, reason: Reason, health: &PrimaryHealth, now_ms: u64) {
-        decision!(
-            "takeover", service = &*self.context.service,
-            primary = self.primary.as_deref().unwrap_or("none"),
-            reason = reason.to_string(), silent_ms = health.silent_ms,
-            failures = health.failures, stuck_ms = health.stuck_ms,
-            held_ms = health.held_ms, term = self.highest_term();
-            "replacing the primary"
-        );
+    /// The members, as an attempt to replace the primary sees them.
+    pub(super) fn rivals(&self) -> Vec<Rival> {
+        let now_ms = clock::boot_ms();
         let rivals = self.members.iter().map(|(id, m)| Rival {
             target: Target {
                 service: self.context.service.clone(),
@@ -162,11 +156,23 @@
             is_gone: m.is_gone(now_ms),
             is_displaced: m.is_displaced(now_ms),
         });
+        rivals.collect()
+    }
+
+    fn start_takeover(&mut self, reason: Reason, health: &PrimaryHealth) {
+        decision!(
+            "takeover", service = &*self.context.service,
+            primary = self.primary.as_deref().unwrap_or("none"),
+            reason = reason.to_string(), silent_ms = health.silent_ms,
+            failures = health.failures, stuck_ms = health.stuck_ms,
+            held_ms = health.held_ms, term = self.highest_term();
+            "replacing the primary"
+        );
         let held = self.members.values().filter_map(|m| m.report);
         let highest = held.map(|(_, r)| r.term.max(r.held_term)).max();
         let plan = TakeoverPlan {
             context: self.context.clone(),
-            rivals: rivals.collect(),
+            rivals: self.rivals(),
             term: highest.unwrap_or(0) + 1,
             reason,
         };
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -1,6 +1,6 @@
 //! One attempt to replace a primary: claim, fence, choose, promote.
 
-use futures::future::join_all;
+use futures::{channel::oneshot, future::join_all};
 use rand::Rng;
 
 use super::{
@@ -32,6 +32,9 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
 /// Rounds in which replicas may catch up with a primary that stepped down.
 const CATCH_UP_ROUNDS: u32 = 4;
+/// The same when a member has come back under an id that is not known yet: it
+/// may hold what the others lack, and is listed within about a second.
+const RETURN_ROUNDS: u32 = 12;
 /// Time from the claim until which a promoted member is waited for, in milliseconds.
 const LEAD_MS: u64 = 4_800;
 /// Time from the claim until which replicas are told to receive again, in
@@ -67,13 +70,13 @@
 }
 
 /// Runs one attempt and tells the service's task how it ended.
-pub async fn run(plan: TakeoverPlan) {
+pub async fn run(mut plan: TakeoverPlan) {
     let started_ms = clock::boot_ms();
     let authority = plan.context.options.authority.clone();
     let service = plan.context.service.clone();
     let claim = (authority.claim)(service.clone()).await;
     let end = match &claim {
-        Some(claim) => attempt(&plan, claim, started_ms).await,
+        Some(claim) => attempt(&mut plan, claim, started_ms).await,
         None => {
             decision!("takeover", service = &*service; "claim not granted");
             AttemptEnd::default()
@@ -102,7 +105,7 @@
     has_ordered: bool,
 }
 
-async fn attempt(plan: &TakeoverPlan, claim: &Claim, started_ms: u64) -> AttemptEnd {
+async fn attempt(plan: &mut TakeoverPlan, claim: &Claim, started_ms: u64) -> AttemptEnd {
     let mut end = AttemptEnd::default();
     if plan.reason == Reason::Unfinished {
         // The primary is well: its replicas only have to receive again.
@@ -129,15 +132,15 @@
             compio::time::sleep(ROUND_PAUSE).await;
             continue;
         };
-        if plan.is_primary(&member) && fencing == Fencing::Returned {
-            decision!(
-                "takeover", service = &*plan.context.service, fence = claim.fence;
-                "a member has returned under another id: it may hold the commits"
-            );
-            break;
-        }
-        if plan.is_primary(&member) && round < CATCH_UP_ROUNDS {
+        let patience = match fencing {
+            Fencing::Returned => RETURN_ROUNDS,
+            _ => CATCH_UP_ROUNDS,
+        };
+        if plan.is_primary(&member) && round < patience {
             compio::time::sleep(ROUND_PAUSE).await;
+            if fencing == Fencing::Returned {
+                plan.refresh().await;
+            }
             continue;
         }
         if clock::boot_ms() >= started_ms + ATTEMPT_MS {
@@ -162,6 +165,25 @@
 }
 
 impl TakeoverPlan {
+    /// Takes over the members as the service knows them now; the one that is
+    /// replaced stays the same.
+    async fn refresh(&mut self) {
+        let (reply, rivals) = oneshot::channel();
+        self.context.send(ServiceMessage::Rivals { reply });
+        let Ok(mut rivals) = rivals.await else { return };
+        let replaced = self.rivals.iter().find(|r| r.is_primary);
+        let replaced = replaced.map(|r| r.target.member.clone());
+        for rival in &mut rivals {
+            rival.is_primary = Some(&rival.target.member) == replaced.as_ref();
+        }
+        decision!(
+            "takeover", service = &*self.context.service,
+            before = self.rivals.len(), members = rivals.len();
+            "a member has returned under another id: looking anew"
+        );
+        self.rivals = rivals;
+    }
+
     fn is_primary(&self, member: &Name) -> bool {
         let mut rivals = self.rivals.iter();
         rivals.any(|r| r.is_primary && r.target.member == *member)
