--- a/src/decide/holders.rs
+++ b/src/decide/holders.rs
@@ -9,9 +9,8 @@
 use super::{dispatch::dealt_to_region, placement::score};
 use crate::prelude::*;
 
-/// Fewest connections that a holder has. A pool is exhausted by chance less
-/// often the larger it is: with half of them held by transactions that pause, a
-/// pool of 4 is full for a tenth of the requests, one of 16 for hardly any.
+/// Fewest connections that a holder has. Transactions that pause hold about half
+/// of them, and a pool is full by chance the less often the larger it is.
 const HOLDER_CONNECTIONS: usize = 16;
 /// Ways through other VMs that are kept besides the first choice.
 const SPARE_WAYS: usize = 4;
