--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -6,13 +6,17 @@
 
 mod conversation;
 
-use std::{cell::Cell, rc::Rc};
+use std::rc::Rc;
 
 use bytes::BytesMut;
 use compio::net::TcpStream;
 
 use self::conversation::Conversation;
-use super::{ErrorClass, ForwardMessage, Result, SessionState, handle::Shared, socket::Socket};
+use super::{
+    ErrorClass, ForwardMessage, Result, SessionState,
+    handle::Shared,
+    socket::{Socket, read_messages},
+};
 use crate::{decision_log::decision, prelude::*};
 
 /// Messages of a VM that wait for their turn.
@@ -31,48 +35,19 @@
     };
     let writer = socket.writer();
     let (sender, messages) = flume::bounded(BACKLOG);
-    let is_over = Rc::new(Cell::new(false));
     let decode = shared.options.codecs.forward.decode;
-    let reading = read_messages(socket, sender, decode, is_over.clone());
-    let reader = compio::runtime::spawn(reading);
-    if let Err(error) = converse(shared, &writer, &messages, is_over).await {
+    let reader = compio::runtime::spawn(read_messages(socket, sender, decode));
+    if let Err(error) = converse(shared, &writer, &messages).await {
         decision!("forward", reason = error.to_string(); "connection of another VM broken");
     }
     // Ends the task, and with it the last handle of the socket.
     drop(reader);
 }
 
-type Decode = fn(&mut BytesMut) -> Result<Option<ForwardMessage>>;
-
-/// Reads messages in a task of its own, which notices when the VM has closed
-/// the connection while a request waits.
-async fn read_messages(
-    mut socket: Socket,
-    messages: flume::Sender<Result<ForwardMessage>>,
-    decode: Decode,
-    is_over: Rc<Cell<bool>>,
-) {
-    loop {
-        let message = match decode(&mut socket.input) {
-            Ok(Some(message)) => Ok(message),
-            Ok(None) => match socket.fill().await {
-                Ok(()) => continue,
-                Err(error) => Err(error),
-            },
-            Err(error) => Err(error),
-        };
-        is_over.set(message.is_err());
-        if messages.send_async(message).await.is_err() || is_over.get() {
-            return;
-        }
-    }
-}
-
 async fn converse(
     shared: &Rc<Shared>,
     writer: &TcpStream,
     messages: &flume::Receiver<Result<ForwardMessage>>,
-    is_over: Rc<Cell<bool>>,
 ) -> Result<()> {
     let Some(ForwardMessage::Open { service, member }) = next(messages, IDLE_TIMEOUT).await? else {
         return Ok(());
@@ -85,7 +60,7 @@
     }
     (codec.ready)(&mut output, SessionState::Idle, None);
     super::socket::write(writer, output).await?;
-    let mut conversation = Conversation::new(shared.clone(), service, member, is_over);
+    let mut conversation = Conversation::new(shared.clone(), service, member, messages.clone());
     let ended = talk(shared, writer, messages, &mut conversation).await;
     conversation.finish();
     ended
@@ -111,17 +86,16 @@
             return Ok(());
         };
         let mut output = BytesMut::new();
-        let is_going_on = match message {
-            ForwardMessage::Run { statement, after } => {
-                early = messages.try_recv().ok().transpose()?;
-                let wants_report = matches!(early, Some(ForwardMessage::Status));
-                early = early.filter(|_| !wants_report);
-                conversation
-                    .run(&statement, (after, wants_report), &mut output)
-                    .await?
-            }
-            message => conversation.answer(message, &mut output).await?,
-        };
+        // A report that was asked for right behind a statement goes with it.
+        let mut wants_report = false;
+        if let ForwardMessage::Run { .. } = message {
+            early = messages.try_recv().ok().transpose()?;
+            wants_report = matches!(early, Some(ForwardMessage::Status));
+            early = early.filter(|_| !wants_report);
+        }
+        let is_going_on = conversation
+            .answer(message, wants_report, &mut output)
+            .await?;
         if !is_going_on {
             return Ok(());
         }
--- a/src/relay/forward/conversation.rs
+++ b/src/relay/forward/conversation.rs
@@ -29,8 +29,8 @@
     shared: Rc<Shared>,
     service: Name,
     member: Name,
-    /// Whether the VM has closed it.
-    is_over: Rc<Cell<bool>>,
+    /// What the VM says; the channel ends when the VM has closed the connection.
+    messages: flume::Receiver<Result<ForwardMessage>>,
     values: Rc<Values>,
     prepared: BTreeMap<Name, Shape>,
     /// The member's connection while a transaction is open.
@@ -43,30 +43,36 @@
         shared: Rc<Shared>,
         service: Name,
         member: Name,
-        is_over: Rc<Cell<bool>>,
+        messages: flume::Receiver<Result<ForwardMessage>>,
     ) -> Conversation {
         Conversation {
             shared,
             service,
             member,
-            is_over,
+            messages,
             values: Rc::default(),
             prepared: BTreeMap::new(),
             link: None,
         }
     }
 
-    /// Writes the answer to a message; `false` if the connection ends.
+    /// Writes the answer to a message, and to a request for a report right
+    /// behind a statement; `false` if the connection ends.
     ///
     /// # Errors
     ///
     /// Returns an error when the member's connection breaks: the VM that asked
     /// then knows as much as if it had been its own.
-    pub async fn answer(&mut self, message: ForwardMessage, output: &mut BytesMut) -> Result<bool> {
+    pub async fn answer(
+        &mut self,
+        message: ForwardMessage,
+        wants_report: bool,
+        output: &mut BytesMut,
+    ) -> Result<bool> {
         match message {
             ForwardMessage::Open { .. } | ForwardMessage::Close => return Ok(false),
             ForwardMessage::Run { statement, after } => {
-                return self.run(&statement, (after, false), output).await;
+                return self.run(&statement, (after, wants_report), output).await;
             }
             ForwardMessage::Set { name, value } => {
                 Rc::make_mut(&mut self.values).insert(name, value);
@@ -175,11 +181,7 @@
 
     /// Runs a statement, and asks for a report right behind it on the same
     /// connection if that is wanted; `false` if the connection ends.
-    ///
-    /// # Errors
-    ///
-    /// As [`Conversation::answer`].
-    pub async fn run(
+    async fn run(
         &mut self,
         statement: &Statement,
         (after, wants_report): (Option<Position>, bool),
@@ -298,7 +300,7 @@
             .send(&self.service, ServiceMessage::Acquire(acquire));
         let lost = refused(ErrorClass::WrongMember, "the service is not served");
         let link = granted.await.unwrap_or(Err(lost))?.link;
-        if self.is_over.get() {
+        if self.messages.is_disconnected() {
             self.give_back(link, false, None);
             return Err(refused(ErrorClass::Busy, "the VM that asked has gone"));
         }
--- a/src/relay/session/opening.rs
+++ b/src/relay/session/opening.rs
@@ -1,6 +1,7 @@
 //! The opening of a session, and what is refused there.
 
 use super::*;
+use crate::relay::socket::read_messages;
 
 /// Largest message before the configuration says otherwise, in bytes.
 const MESSAGE_MAX_BYTES: usize = 1 << 20;
@@ -22,7 +23,9 @@
     let (sender, messages) = flume::bounded(BACKLOG);
     let limit = message_limit(shared);
     let decode = shared.options.codecs.caller.decode;
-    let reader = compio::runtime::spawn(read_messages(socket, sender, decode, limit));
+    let reader = compio::runtime::spawn(read_messages(socket, sender, move |input| {
+        decode(input, limit)
+    }));
     if let Err(error) = converse(shared, &writer, &messages).await {
         decision!("session", reason = error.to_string(); "session broken");
     }
@@ -36,32 +39,6 @@
     limit.unwrap_or(MESSAGE_MAX_BYTES).min(MESSAGE_MAX_BYTES)
 }
 
-type Decode = fn(&mut BytesMut, usize) -> Result<Option<CallerMessage>>;
-
-/// Reads messages, in a task of its own so that none is lost while the session
-/// waits for something else.
-async fn read_messages(
-    mut socket: Socket,
-    messages: flume::Sender<Result<CallerMessage>>,
-    decode: Decode,
-    limit: usize,
-) {
-    loop {
-        let message = match decode(&mut socket.input, limit) {
-            Ok(Some(message)) => Ok(message),
-            Ok(None) => match socket.fill().await {
-                Ok(()) => continue,
-                Err(error) => Err(error),
-            },
-            Err(error) => Err(error),
-        };
-        let is_over = message.is_err();
-        if messages.send_async(message).await.is_err() || is_over {
-            return;
-        }
-    }
-}
-
 async fn converse(
     shared: &Rc<Shared>,
     writer: &TcpStream,
--- a/src/relay/socket.rs
+++ b/src/relay/socket.rs
@@ -81,3 +81,26 @@
     let BufResult(result, _) = stream.write_all(output).await;
     Ok(result?)
 }
+
+/// Reads messages in a task of its own, so that none is lost while the receiver
+/// waits for something else. The channel ends after the first error.
+pub async fn read_messages<T>(
+    mut socket: Socket,
+    messages: flume::Sender<Result<T>>,
+    decode: impl Fn(&mut BytesMut) -> Result<Option<T>>,
+) {
+    loop {
+        let message = match decode(&mut socket.input) {
+            Ok(Some(message)) => Ok(message),
+            Ok(None) => match socket.fill().await {
+                Ok(()) => continue,
+                Err(error) => Err(error),
+            },
+            Err(error) => Err(error),
+        };
+        let is_over = message.is_err();
+        if messages.send_async(message).await.is_err() || is_over {
+            return;
+        }
+    }
+}
