--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -48,6 +48,12 @@
     pub statement_ms: Histogram<f64>,
     /// Statements that another VM forwarded through this one, by outcome.
     pub forwarded: Counter<u64>,
+    /// Connections to members that were opened, by purpose.
+    pub member_connections: Counter<u64>,
+    /// Probes of members by outcome.
+    pub probes: Counter<u64>,
+    /// Refreshes of the floor that were given up, by service.
+    pub floor_timeouts: Counter<u64>,
     /// Age of the floor, the minimum position that a read must see, when the read was
     /// granted, in milliseconds.
     pub floor_age_ms: Histogram<f64>,
@@ -89,6 +95,9 @@
             statements: counter("foxtailknot_statements"),
             statement_ms: meter.f64_histogram("foxtailknot_statement_ms").build(),
             forwarded: counter("foxtailknot_forwarded"),
+            member_connections: counter("foxtailknot_member_connections"),
+            probes: counter("foxtailknot_probes"),
+            floor_timeouts: counter("foxtailknot_floor_timeouts"),
             floor_age_ms: meter.f64_histogram("foxtailknot_floor_age_ms").build(),
             peer_bytes: counter("foxtailknot_peer_bytes"),
             _provider: provider,
--- a/src/relay/service/connections.rs
+++ b/src/relay/service/connections.rs
@@ -8,6 +8,16 @@
 /// Longest time for the rollback of a released connection, after which it is closed.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Why a connection to a member is opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum OpenPurpose {
+    /// Requests wait for a connection.
+    Request,
+    /// A probe has no idle connection.
+    Probe,
+}
+
 impl Service {
     /// Opens a connection if requests wait for one and both `limit` and the
     /// member's window leave room.
@@ -22,7 +32,7 @@
             return;
         }
         member.opening += 1;
-        let permit = self.count_open(id);
+        let permit = self.count_open(id, OpenPurpose::Request);
         let context = self.context.clone();
         let codec = context.options.codecs.member;
         compio::runtime::spawn(async move {
@@ -34,9 +44,18 @@
     }
 
     /// Counts a connection as open until the permit is dropped.
-    pub(super) fn count_open(&mut self, id: &Name) -> Permit {
+    pub(super) fn count_open(&mut self, id: &Name, purpose: OpenPurpose) -> Permit {
+        let purpose: &'static str = purpose.into();
+        let labels = [label("purpose", purpose)];
+        self.context.metrics.member_connections.add(1, &labels);
         if let Some(member) = self.members.get_mut(id) {
             member.open += 1;
+            decision!(
+                "connect", service = &*self.context.service, member = &**id, purpose = purpose,
+                through = member.path().through(), open = member.open,
+                idle = member.idle.len(), waiting = member.queue.len();
+                "opening a connection"
+            );
         }
         let context = self.context.clone();
         let member = id.clone();
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -1,7 +1,7 @@
 //! Probes, which ask members for status reports, and what follows from the
 //! reports: leadership checks and floors.
 
-use super::*;
+use super::{connections::OpenPurpose, *};
 use crate::{
     decide::leadership::{
         LeadershipCheck, TermReport, check_leadership, members_to_ask, received_by_others,
@@ -97,7 +97,7 @@
         };
         let probe_connection = match idle {
             Some(connection) => ProbeConnection::Open(Box::new(connection)),
-            None => ProbeConnection::New(target, self.count_open(id)),
+            None => ProbeConnection::New(target, self.count_open(id, OpenPurpose::Probe)),
         };
         let context = self.context.clone();
         let member = id.clone();
@@ -124,6 +124,7 @@
         result: Result<(Connection, StatusReport)>,
     ) {
         let now_ms = clock::boot_ms();
+        self.count_probe(&result);
         let Some(member) = self.members.get_mut(id) else {
             return;
         };
@@ -166,6 +167,11 @@
             }
             // The member answers but is overloaded.
             Err(RelayError::Refused { class }) if is_full(class) => {
+                decision!(
+                    "probe", service = &*self.context.service, member = &**id,
+                    through = path.through(), class = class.to_string(), open = member.open;
+                    "probe refused"
+                );
                 member.next_probe_ms = now_ms + PROBE_RETRY_MS;
             }
             Err(error) => {
@@ -189,6 +195,17 @@
         }
     }
 
+    fn count_probe(&self, result: &Result<(Connection, StatusReport)>) {
+        let outcome: &'static str = match result {
+            Ok(_) => "done",
+            Err(RelayError::Refused { class }) => class.into(),
+            Err(RelayError::Timeout) => "timeout",
+            Err(_) => "broken",
+        };
+        let labels = [label("outcome", outcome)];
+        self.context.metrics.probes.add(1, &labels);
+    }
+
     /// Answers the leadership checks that the reports decide, and requests reports
     /// for the others.
     pub(super) fn resolve_leadership_checks(&mut self) {
@@ -287,6 +304,13 @@
         }
         if clock::boot_us() >= since_us + LEADERSHIP_CHECK_TIMEOUT_US {
             self.floor_refresh_since_us = None;
+            let labels = [name_label("service", &self.context.service)];
+            self.context.metrics.floor_timeouts.add(1, &labels);
+            decision!(
+                "floor", service = &*self.context.service,
+                primary = primary.as_deref().unwrap_or("none"), since_ms = since_us / 1_000,
+                waiting = self.waiting_floor.len(); "floor not refreshed in time"
+            );
             return;
         }
         match primary {
