Back off from members that refuse connections or probes

Cause: a VM repeated a refused opening every 100 ms, for requests and for probes, however long the member had been full. All VMs together ask for more openings than a member can serve (250 a second at 12 ms in three slots, 101 VMs), so a member that is full for a moment stays full.

Why it works: the pause doubles up to 800 ms with half of it at random, so the rate falls with the number of VMs that are refused, and a success ends it. Probes on open connections pause up to 400 ms, so that a leadership check still sends two. A read still goes to a member whose openings are refused if this VM has connections to it.

--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -12,10 +12,25 @@
         dispatch::{ConnectionBudget, share_count},
         holders::MemberPath,
         member::Role,
+        retry::Backoff,
         window::Window,
     },
 };
 
+/// Pause after the member refused to open a connection. Opening one costs the
+/// member about as much as a read, so a full member must not be asked at a
+/// constant rate by all VMs.
+const OPEN_BACKOFF: Backoff = Backoff {
+    base_ms: 100,
+    max_ms: 800,
+};
+/// Pause after the member refused a probe: two are sent before a leadership check
+/// is given up.
+const PROBE_BACKOFF: Backoff = Backoff {
+    base_ms: 100,
+    max_ms: 400,
+};
+
 /// Most requests queued for one member.
 const QUEUE_MAX: usize = 256;
 /// Weight of the newest sample in the mean time of a read.
@@ -107,6 +122,10 @@
     pub next_probe_ms: u64,
     /// Time before which no connection is opened, in milliseconds.
     pub open_after_ms: u64,
+    /// Consecutive connections that it refused to open because it is full.
+    open_refusals: u32,
+    /// Consecutive probes that it refused because it is full.
+    probe_refusals: u32,
     /// Mean time of a read, in milliseconds.
     pub mean_ms: f64,
     /// Time until which it counts as behind, in milliseconds.
@@ -143,6 +162,8 @@
             displaced_since_ms: None,
             next_probe_ms: 0,
             open_after_ms: 0,
+            open_refusals: 0,
+            probe_refusals: 0,
             mean_ms: INITIAL_MEAN_MS[distance.min(2) as usize],
             behind_until_ms: 0,
             fenced_since_us: None,
@@ -158,6 +179,18 @@
         };
     }
 
+    /// Records that it opened a connection.
+    pub fn record_open(&mut self) {
+        self.open_refusals = 0;
+    }
+
+    /// Records that it refused to open a connection because it is full.
+    pub fn record_open_refusal(&mut self, now_ms: u64) {
+        self.open_refusals += 1;
+        let pause_ms = OPEN_BACKOFF.jittered_ms(self.open_refusals, &mut rand::rng());
+        self.open_after_ms = now_ms + pause_ms;
+    }
+
     /// Records that it answers, on a connection that names it.
     pub fn record_reply(&mut self) {
         self.failures = 0;
@@ -167,6 +200,7 @@
 
     /// Records that it gave a report.
     pub fn record_report(&mut self, asked_us: u64, report: StatusReport) {
+        self.probe_refusals = 0;
         let is_fenced = report.held_term > report.term;
         self.fenced_since_us = match is_fenced {
             true => self.fenced_since_us.or(Some(asked_us)),
@@ -175,6 +209,24 @@
         self.report = Some((asked_us, report));
     }
 
+    /// Records that it refused a probe because it is full.
+    pub fn record_probe_refusal(&mut self, now_ms: u64) {
+        self.probe_refusals += 1;
+        let pause_ms = PROBE_BACKOFF.jittered_ms(self.probe_refusals, &mut rand::rng());
+        self.next_probe_ms = now_ms + pause_ms;
+    }
+
+    /// Whether it refused to open a connection shortly before.
+    pub fn refuses_connections(&self, now_ms: u64) -> bool {
+        self.open_refusals > 0 && now_ms < self.open_after_ms
+    }
+
+    /// Whether requests can be served on connections that are open, or new ones may
+    /// be opened.
+    pub fn has_connections(&self, now_ms: u64) -> bool {
+        self.open > self.opening || now_ms >= self.open_after_ms
+    }
+
     /// Whether it may serve new reads.
     pub fn is_usable(&self, now_ms: u64) -> bool {
         self.failures == 0 && !self.is_departing(now_ms)
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -108,6 +108,8 @@
 pub struct ProbeAnswer {
     /// The connection, which stays usable.
     pub connection: Connection,
+    /// Whether it was opened for the probe.
+    pub is_new: bool,
     /// The report, or the class of the error with which the member refused it.
     pub report: std::result::Result<StatusReport, ErrorClass>,
 }
--- a/src/relay/service/connections.rs
+++ b/src/relay/service/connections.rs
@@ -134,6 +134,7 @@
         match result {
             Ok(connection) if connection.path != *member.path() => self.serve_queue(id),
             Ok(mut connection) => {
+                member.record_open();
                 connection.idle_since_ms = now_ms;
                 member.idle.push(connection);
                 self.serve_queue(id);
@@ -143,13 +144,16 @@
                     "open", service = &*self.context.service, member = &**id,
                     reason = error.to_string(); "connection not opened"
                 );
-                member.open_after_ms = now_ms + OPEN_PAUSE_MS;
                 // Any other refusal, such as a full member's, shows that the member
                 // answers: no probe is needed.
-                let wrong_member = ErrorClass::WrongMember;
                 match error {
-                    RelayError::Refused { class } if class != wrong_member => {}
-                    _ => self.suspect(id, false),
+                    RelayError::Refused { class } if class != ErrorClass::WrongMember => {
+                        member.record_open_refusal(now_ms);
+                    }
+                    _ => {
+                        member.open_after_ms = now_ms + OPEN_PAUSE_MS;
+                        self.suspect(id, false);
+                    }
                 }
             }
         }
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -112,7 +112,7 @@
     fn choose_reader(&self, acquire: &Acquire, freshness: &Freshness) -> Option<Name> {
         let now_ms = clock::boot_ms();
         let usable = self.members.iter().filter(|(id, m)| {
-            m.is_usable(now_ms) && m.open_after_ms <= now_ms && !acquire.avoid.contains(*id)
+            m.is_usable(now_ms) && m.has_connections(now_ms) && !acquire.avoid.contains(*id)
         });
         let candidates: Vec<ReadCandidate> = usable
             .map(|(id, m)| ReadCandidate {
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -88,6 +88,10 @@
         }
         // A failing member is probed on a new connection, since the open ones
         // may be dead.
+        let must_open = member.failures > 0 || path != *member.path() || member.idle.is_empty();
+        if must_open && member.refuses_connections(asked_us / 1_000) {
+            return;
+        }
         member.probe_sent_us = Some(asked_us);
         member.probe_after_us = None;
         member.probe_requested_us = None;
@@ -128,10 +132,14 @@
         };
         member.probe_sent_us = None;
         let is_in_use = path == member.path();
+        if let Ok(ProbeAnswer { is_new: true, .. }) = result {
+            member.record_open();
+        }
         match result {
             Ok(ProbeAnswer {
                 connection,
                 report: Ok(report),
+                ..
             }) => {
                 self.count_probe("done");
                 self.handle_report(id, path, (asked_us, report));
@@ -142,8 +150,9 @@
             Ok(ProbeAnswer {
                 connection,
                 report: Err(class),
+                ..
             }) if is_full(class) && is_in_use => {
-                member.next_probe_ms = clock::boot_ms() + PROBE_RETRY_MS;
+                member.record_probe_refusal(clock::boot_ms());
                 self.handle_answer(id);
                 self.probe_refused(id, path, class);
                 self.release(connection, false, None);
@@ -217,7 +226,7 @@
             return self.count_probe(outcome(error));
         }
         if let Some(class) = refusal.filter(|class| is_full(*class)) {
-            member.next_probe_ms = now_ms + PROBE_RETRY_MS;
+            member.record_open_refusal(now_ms);
             return self.probe_refused(id, path, class);
         }
         if member.failures == 0 {
@@ -421,10 +430,14 @@
 }
 
 async fn probe(probe_connection: ProbeConnection, codec: &MemberCodec) -> Result<ProbeAnswer> {
-    let mut connection = match probe_connection {
-        ProbeConnection::Open(connection) => *connection,
-        ProbeConnection::New(target, permit) => open(target, *codec, permit).await?,
+    let (mut connection, is_new) = match probe_connection {
+        ProbeConnection::Open(connection) => (*connection, false),
+        ProbeConnection::New(target, permit) => (open(target, *codec, permit).await?, true),
     };
     let report = exchange::request_report(&mut connection, codec, &MemberRequest::Status).await?;
-    Ok(ProbeAnswer { connection, report })
+    Ok(ProbeAnswer {
+        connection,
+        is_new,
+        report,
+    })
 }
