Pause between attempts at a statement that members refuse

What callers saw: nothing of its own; an overload lasted longer than its cause.

Cause: a read that a member refused was tried on the next member at once, and once all had refused it, all were allowed again, so it went round without a pause until its deadline. A transaction was begun again every 15 ms. Each attempt costs a full member a message, and the members of a service are full together.

Why it works: the first attempt elsewhere is still made at once; from then on the pause doubles from 10 up to 100 ms, half of it at random.

--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -5,10 +5,13 @@
 use futures::channel::oneshot;
 
 use super::*;
-use crate::relay::{
-    Access, Consistency,
-    connection::Connection,
-    message::{Acquire, Freshness, Granted, Purpose, Refused, ServiceMessage},
+use crate::{
+    decide::retry::Backoff,
+    relay::{
+        Access, Consistency,
+        connection::Connection,
+        message::{Acquire, Freshness, Granted, Purpose, Refused, ServiceMessage},
+    },
 };
 
 /// Time after which a member that has not answered is reported as suspect, so
@@ -21,6 +24,19 @@
 /// the rest is for running it.
 const CONNECTION_WAIT_SHARE: f64 = 0.75;
 
+/// Pause before a statement that was not run is retried: from about the time of
+/// one statement up to the time in which a queue drains.
+const BACKOFF: Backoff = Backoff {
+    base_ms: 10,
+    max_ms: 100,
+};
+
+/// Waits before a statement is tried again after `failures` attempts.
+pub(super) async fn pause_before_retry(failures: u32) {
+    let pause_ms = BACKOFF.jittered_ms(failures, &mut rand::rng());
+    compio::time::sleep(Duration::from_millis(pause_ms)).await;
+}
+
 /// Whether a statement writes.
 pub(super) fn is_write(
     statement: &Statement,
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -1,27 +1,18 @@
 //! Statements outside transactions.
 
 use super::{
-    attempt::{is_not_run, is_write, refusal_reply},
+    attempt::{is_not_run, is_write, pause_before_retry, refusal_reply},
     *,
 };
-use crate::{
-    decide::retry::Backoff,
-    relay::{
-        Consistency, StatusReport,
-        connection::Connection,
-        exchange::{Call, Outcome, run},
-        message::{Granted, Purpose, ServiceMessage},
-    },
+use crate::relay::{
+    Consistency, StatusReport,
+    connection::Connection,
+    exchange::{Call, Outcome, run},
+    message::{Granted, Purpose, ServiceMessage},
 };
 
 /// Fraction of a route's timeout after which a read is tried on another member.
 const READ_ATTEMPT_SHARE: f64 = 0.45;
-/// Pause before a statement that was not run is retried: from about the time of
-/// one statement up to the time in which a queue drains.
-const BACKOFF: Backoff = Backoff {
-    base_ms: 10,
-    max_ms: 100,
-};
 /// Time after which a caller should retry when all attempts have failed.
 const RETRY_MS: u64 = 300;
 
@@ -116,9 +107,10 @@
             }
             if elsewhere {
                 avoid.insert(member);
-            } else {
-                let delay_ms = BACKOFF.delay_ms(failures);
-                compio::time::sleep(Duration::from_millis(delay_ms)).await;
+            }
+            // Another member is tried at once, but not all of them in a circle.
+            if !elsewhere || failures > 1 {
+                pause_before_retry(failures).await;
             }
         }
     }
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -1,7 +1,7 @@
 //! Statements inside transactions, commits and rollbacks.
 
 use super::{
-    attempt::{is_not_run, is_write, refusal_reply},
+    attempt::{is_not_run, is_write, pause_before_retry, refusal_reply},
     autocommit::{in_doubt, left_ms, timed_out},
     *,
 };
@@ -12,10 +12,6 @@
     message::{Granted, Purpose},
 };
 
-/// Pause before a transaction that has not run anything is begun again: about
-/// the time of one statement.
-const BEGIN_PAUSE_MS: u64 = 15;
-
 /// Outcome of an attempt to begin a transaction on a member.
 enum BeginOutcome {
     /// The connection, and the term that its member leads.
@@ -66,6 +62,7 @@
         arrived_us: u64,
     ) -> Reply {
         let mut avoid = BTreeSet::new();
+        let mut failures = 0;
         loop {
             let route = transaction.route.clone();
             let begun = self
@@ -101,7 +98,8 @@
             if left_ms(&route, arrived_us) == 0 {
                 return timed_out(reason);
             }
-            compio::time::sleep(Duration::from_millis(BEGIN_PAUSE_MS)).await;
+            failures += 1;
+            pause_before_retry(failures).await;
         }
     }
 
