--- a/tests/decide_relay.rs
+++ b/tests/decide_relay.rs
@@ -1,7 +1,10 @@
 //! Tests of the relay's decisions: leadership checks, floors, connections,
-//! request windows, queues, takeovers and holders.
+//! request windows, queues, pauses, takeovers and holders.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use foxtailknot::{
     decide::{
@@ -12,6 +15,7 @@
         leadership::{
             LeadershipCheck, TermReport, check_leadership, received_by_others, term_reports_needed,
         },
+        retry::Backoff,
         takeover::{
             Candidate, Choice, Fenced, PrimaryHealth, Reason, StuckCommit, TakeoverSettings,
             WaitReason, choose, replacement_reason,
@@ -22,6 +26,7 @@
     position::Position,
     prelude::Name,
 };
+use rand::{SeedableRng, rngs::StdRng};
 use yare::parameterized;
 
 fn at(term: u64, lsn: u64) -> Position {
@@ -418,3 +423,25 @@
         [MemberPath::Direct]
     );
 }
+
+/// Pauses double up to the longest one; up to half is taken off at random.
+#[parameterized(
+    first = { 1, 100 },
+    second = { 2, 200 },
+    longest = { 4, 800 },
+    many = { 1_000, 800 },
+)]
+fn pauses_double_and_vary(failures: u32, delay_ms: u64) {
+    let backoff = Backoff {
+        base_ms: 100,
+        max_ms: 800,
+    };
+    assert_eq!(backoff.delay_ms(failures), delay_ms);
+    let mut random = StdRng::seed_from_u64(17);
+    let pauses: BTreeSet<u64> = (0..200)
+        .map(|_| backoff.jittered_ms(failures, &mut random))
+        .collect();
+    let (shortest, longest) = (pauses.first().unwrap(), pauses.last().unwrap());
+    assert!(*shortest >= delay_ms / 2 && *longest <= delay_ms);
+    assert!(*longest - *shortest >= delay_ms / 4);
+}
