--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -192,7 +192,7 @@
     }
 
     /// Records that it answers, on a connection that names it.
-    pub fn record_reply(&mut self) {
+    pub fn record_alive(&mut self) {
         self.failures = 0;
         self.silent_since_us = None;
         self.displaced_since_ms = None;
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -4,8 +4,10 @@
 mod connections;
 mod grant;
 mod members;
+mod open_purpose;
 mod paths;
 mod probe;
+mod probe_result;
 mod reports;
 mod watch;
 
--- a/src/relay/service/connections.rs
+++ b/src/relay/service/connections.rs
@@ -1,6 +1,6 @@
 //! Opening, releasing and closing connections to members.
 
-use super::*;
+use super::{open_purpose::OpenPurpose, *};
 use crate::relay::{MemberRequest, RelayError, Result, connection::Connection, exchange::request};
 
 /// Pause after a failed attempt to open a connection, in milliseconds.
@@ -8,16 +8,6 @@
 /// Longest time for the rollback of a released connection, after which it is closed.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Why a connection to a member is opened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub(super) enum OpenPurpose {
-    /// Requests wait for a connection.
-    Request,
-    /// A probe has no idle connection.
-    Probe,
-}
-
 impl Service {
     /// Opens a connection if requests wait for one and both `limit` and the
     /// member's window leave room.
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -1,30 +1,24 @@
 //! Probes, which ask members for status reports, and what follows from the
 //! reports: leadership checks and floors.
 
-use super::{connections::OpenPurpose, *};
+use super::{open_purpose::OpenPurpose, *};
 use crate::{
     decide::leadership::{
         LeadershipCheck, TermReport, check_leadership, members_to_ask, received_by_others,
         term_reports_needed,
     },
     relay::{
-        MemberCodec, MemberRequest, RelayError, Result, StatusReport, connection::Connection,
-        exchange, message::ProbeAnswer,
+        MemberCodec, MemberRequest, RelayError, Result, connection::Connection, exchange,
+        message::ProbeAnswer,
     },
 };
 
 /// Longest wait for a report: a round trip to another region, and a full queue at
 /// the member.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Pause between probes of a member that does not answer or is full, in
-/// milliseconds.
-const PROBE_RETRY_MS: u64 = 100;
 /// Time for which a probe waits for an idle connection while all are in use, in
 /// microseconds: the duration of a few statements.
 const IDLE_CONNECTION_WAIT_US: u64 = 150_000;
-/// Pause before the next path is tried after a VM refused to forward to a member,
-/// in milliseconds.
-const NEXT_PATH_PAUSE_MS: u64 = 20;
 /// Time after which a leadership check asks all members, not only the nearest, in
 /// microseconds: more than a round trip to another region.
 const ASK_ALL_AFTER_US: u64 = 120_000;
@@ -120,149 +114,6 @@
         .detach();
     }
 
-    pub(super) fn handle_probe_result(
-        &mut self,
-        id: &Name,
-        path: &MemberPath,
-        asked_us: u64,
-        result: Result<ProbeAnswer>,
-    ) {
-        let Some(member) = self.members.get_mut(id) else {
-            return;
-        };
-        member.probe_sent_us = None;
-        let is_in_use = path == member.path();
-        if let Ok(ProbeAnswer { is_new: true, .. }) = result {
-            member.record_open();
-        }
-        match result {
-            Ok(ProbeAnswer {
-                connection,
-                report: Ok(report),
-                ..
-            }) => {
-                self.count_probe("done");
-                self.handle_report(id, path, (asked_us, report));
-                self.release(connection, false, None);
-            }
-            // The connection is kept: opening another costs the member more than
-            // the report that it refused.
-            Ok(ProbeAnswer {
-                connection,
-                report: Err(class),
-                ..
-            }) if is_full(class) && is_in_use => {
-                member.record_probe_refusal(clock::boot_ms());
-                self.handle_answer(id);
-                self.probe_refused(id, path, class);
-                self.release(connection, false, None);
-            }
-            Ok(ProbeAnswer {
-                report: Err(class), ..
-            }) => self.handle_probe_error(id, path, asked_us, &RelayError::Refused { class }),
-            Err(error) => self.handle_probe_error(id, path, asked_us, &error),
-        }
-    }
-
-    /// Records that a member answers.
-    fn handle_answer(&mut self, id: &Name) {
-        let Some(member) = self.members.get_mut(id) else {
-            return;
-        };
-        if member.failures > 0 {
-            decision!(
-                "dependency", service = &*self.context.service, member = &**id,
-                failures = member.failures; "member answers again"
-            );
-        }
-        member.record_reply();
-    }
-
-    fn handle_report(
-        &mut self,
-        id: &Name,
-        path: &MemberPath,
-        (asked_us, report): (u64, StatusReport),
-    ) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.record_answer(path);
-        }
-        self.handle_answer(id);
-        if let Some(member) = self.members.get_mut(id) {
-            member.record_report(asked_us, report);
-        }
-        self.update_stuck_commit(id, &report);
-    }
-
-    fn handle_probe_error(
-        &mut self,
-        id: &Name,
-        path: &MemberPath,
-        asked_us: u64,
-        error: &RelayError,
-    ) {
-        let now_ms = clock::boot_ms();
-        let refusal = match error {
-            RelayError::Refused { class } => Some(*class),
-            _ => None,
-        };
-        let is_wrong_member = refusal == Some(ErrorClass::WrongMember);
-        let Some(member) = self.members.get_mut(id) else {
-            return;
-        };
-        // The best path is only tried again while another one works.
-        if path != member.path() {
-            decision!(
-                "dependency", service = &*self.context.service, member = &**id,
-                through = path.through(), reason = error.to_string(); "way tried in vain"
-            );
-            return self.count_probe(outcome(error));
-        }
-        // The VM that forwards answers but does not reach the member.
-        if is_wrong_member && *path != MemberPath::Direct {
-            member.use_next_path();
-            member.next_probe_ms = now_ms + NEXT_PATH_PAUSE_MS;
-            self.request_probe(id, asked_us);
-            return self.count_probe(outcome(error));
-        }
-        if let Some(class) = refusal.filter(|class| is_full(*class)) {
-            member.record_open_refusal(now_ms);
-            return self.probe_refused(id, path, class);
-        }
-        if member.failures == 0 {
-            decision!(
-                "dependency", service = &*self.context.service, member = &**id,
-                through = path.through(), reason = error.to_string(); "member lost"
-            );
-        }
-        if is_wrong_member {
-            member.displaced_since_ms.get_or_insert(now_ms);
-        }
-        member.use_next_path();
-        member.failures += 1;
-        member.silent_since_us.get_or_insert(asked_us);
-        member.next_probe_ms = now_ms + PROBE_RETRY_MS;
-        member.idle.clear();
-        self.reroute(id);
-        self.count_probe(outcome(error));
-    }
-
-    /// Logs and counts that a member is too full for a probe.
-    fn probe_refused(&self, id: &Name, path: &MemberPath, class: ErrorClass) {
-        let open = self.members.get(id).map_or(0, |m| m.open);
-        decision!(
-            "probe", service = &*self.context.service, member = &**id,
-            through = path.through(), class = class.to_string(), open = open;
-            "probe refused"
-        );
-        self.count_probe(class.into());
-    }
-
-    fn count_probe(&self, outcome: &'static str) {
-        let labels = [label("outcome", outcome)];
-        self.context.metrics.probes.add(1, &labels);
-    }
-
     /// Answers the leadership checks that the reports decide, and requests reports
     /// for the others.
     pub(super) fn resolve_leadership_checks(&mut self) {
@@ -410,19 +261,6 @@
     }
 }
 
-/// Outcome of a failed probe, for metrics.
-fn outcome(error: &RelayError) -> &'static str {
-    match error {
-        RelayError::Refused { class } => class.into(),
-        RelayError::Timeout => "timeout",
-        _ => "broken",
-    }
-}
-
-fn is_full(class: ErrorClass) -> bool {
-    matches!(class, ErrorClass::Busy | ErrorClass::ConnectionLimit)
-}
-
 /// The connection that a probe is sent on.
 enum ProbeConnection {
     Open(Box<Connection>),
