End pauses after refusals when the path to a member changes

What callers would have seen: after the VMs have started together, up to 0.8 s of refusals at VMs that then learn that they reach a member through a holder.

Cause: the pause after refused connections was kept with the member, not with the path; connections of the old path were dropped, the pause was not.

--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -332,10 +332,19 @@
         if index != self.path {
             self.path = index;
             self.retry_best_ms = clock::boot_ms() + BEST_PATH_RETRY_MS;
-            self.idle.clear();
+            self.leave_path();
         }
     }
 
+    /// Drops what belongs to the path that was in use: its connections, and pauses
+    /// after refusals on it.
+    fn leave_path(&mut self) {
+        self.idle.clear();
+        self.open_after_ms = 0;
+        self.open_refusals = 0;
+        self.probe_refusals = 0;
+    }
+
     /// Switches to the next path after the one in use has failed. The best path is
     /// tried alternately with each of the others, since usually the member has
     /// failed and not the path.
@@ -364,7 +373,7 @@
         self.paths = paths;
         self.path = kept.filter(|_| keeps_best).unwrap_or(0);
         if *self.path() != before {
-            self.idle.clear();
+            self.leave_path();
         }
     }
 
