State what the count of openings includes

Found on reading the change once more. The metric and the log line of count attempts to open a connection, also refused ones; the comment, METRICS.md and the postmortem said opened connections.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -48,7 +48,7 @@
     pub statement_ms: Histogram<f64>,
     /// Statements that another VM forwarded through this one, by outcome.
     pub forwarded: Counter<u64>,
-    /// Connections to members that were opened, by purpose.
+    /// Attempts to open connections to members, by purpose.
     pub member_connections: Counter<u64>,
     /// Probes of members by outcome.
     pub probes: Counter<u64>,
