Pass news of the store between VMs

Cause: each VM followed the manifest and the members' entries in the store by itself and read the whole list of VMs with each heartbeat. Before the list of VMs was known, every VM connected to every member, and attempted takeovers of primaries that nobody had been asked about yet.

Change: two VMs of each availability zone follow the store, all in zones of up to six VMs; the others subscribe to two of them by tarpc and turn to others in the region and beyond when these fail, stop or hold old news. A copy of a table never goes back to an older version, whatever the order of its pages. Without any source a VM polls the store at a rate that is bounded for all VMs together. News only informs: claims and promotions are decided in the store as before. Services connect to members once the list of VMs is known, or after 6 s.

Decisions are in decide/news_sources.rs and decide/table_copy.rs.

--- a/src/decide/holders.rs
+++ b/src/decide/holders.rs
@@ -114,7 +114,12 @@
 }
 
 /// The `count` VMs with the highest weighted rendezvous scores.
-fn ranked(key: &str, index: usize, vms: Vec<(&Name, &VmPlace)>, count: usize) -> Vec<Name> {
+pub(super) fn ranked(
+    key: &str,
+    index: usize,
+    vms: Vec<(&Name, &VmPlace)>,
+    count: usize,
+) -> Vec<Name> {
     let mut scored: Vec<(f64, &Name)> = vms
         .into_iter()
         .map(|(vm, place)| (weighted_score(key, index, vm, place.weight), vm))
--- /dev/null
+++ b/src/decide/news_sources.rs
@@ -0,0 +1,197 @@
+//! Where a VM gets the news of the store from: a few followers in each
+//! availability zone read the store, the other VMs subscribe to them.
+//!
+//! Load: store calls grow with the zones instead of the VMs. News from another
+//! VM only informs; whoever acts on a right asks the store for it.
+
+use super::{
+    holders::{VmPlace, ranked},
+    retry::Backoff,
+};
+use crate::prelude::*;
+
+/// Number of VMs of a zone that follow the store: one may fail.
+const FOLLOWERS_PER_ZONE: usize = 2;
+/// In a zone of at most this many VMs all follow the store: their calls are few.
+const SMALL_ZONE_VMS: usize = 6;
+/// Number of followers outside its own zone that a VM knows as alternatives.
+const SPARE_SOURCES: usize = 6;
+/// Index of the hash score that ranks the followers of a zone.
+const FOLLOWER_INDEX: usize = 2;
+/// Index of the hash score that ranks the sources of one VM.
+const SOURCE_INDEX: usize = 3;
+/// Pause before a source that failed is asked again.
+const SOURCE_BACKOFF: Backoff = Backoff {
+    base_ms: 1_000,
+    max_ms: 16_000,
+};
+/// Difference between the age of a source's news and that of this VM's news from
+/// which on the source counts as failed, in milliseconds: more than two waits for
+/// changes.
+const STALE_MARGIN_MS: u64 = 4_000;
+/// Store calls a second that all VMs without a source may make together.
+const FALLBACK_CALLS_PER_S: u64 = 50;
+/// Shortest interval between two such calls of one VM, in milliseconds.
+const FALLBACK_INTERVAL_MIN_MS: u64 = 500;
+/// Age of its news from which on a VM counts as without a source, in
+/// milliseconds: the length of a failed call to each of two sources.
+const FALLBACK_AGE_MS: u64 = 3_500;
+
+/// Longest time for which a VM waits for the list of VMs before it follows the
+/// store, in milliseconds.
+const VMS_WAIT_MS: u64 = 6_000;
+
+/// How a VM uses the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreUse {
+    /// It follows the store.
+    Follow,
+    /// It gets its news from other VMs, or waits for the list of VMs.
+    Leave {
+        /// Time after which this is to be decided anew, in milliseconds.
+        for_ms: u64,
+    },
+    /// No other VM serves it: it reads the store at this interval, in milliseconds.
+    Poll {
+        /// The interval.
+        interval_ms: u64,
+    },
+}
+
+/// The VMs of a zone that follow the store.
+pub fn followers(zone: &Name, vms: &BTreeMap<Name, VmPlace>) -> Vec<Name> {
+    let here: Vec<(&Name, &VmPlace)> = vms.iter().filter(|(_, vm)| vm.zone == *zone).collect();
+    let count = match here.len() <= SMALL_ZONE_VMS {
+        true => here.len(),
+        false => FOLLOWERS_PER_ZONE,
+    };
+    ranked(zone, FOLLOWER_INDEX, here, count)
+}
+
+/// Whether the VM `own` follows the store. A VM that is not listed does.
+pub fn is_follower(own: &Name, vms: &BTreeMap<Name, VmPlace>) -> bool {
+    vms.get(own)
+        .is_none_or(|place| followers(&place.zone, vms).contains(own))
+}
+
+/// Followers that the VM `own` may subscribe to, best first: those of its zone,
+/// of its region, then others. Each VM ranks them differently.
+pub fn sources(own: &Name, vms: &BTreeMap<Name, VmPlace>) -> Vec<Name> {
+    let Some(place) = vms.get(own) else {
+        return Vec::new();
+    };
+    let mut zones: BTreeMap<&Name, &Name> = BTreeMap::new();
+    for vm in vms.values() {
+        zones.insert(&vm.zone, &vm.region);
+    }
+    let (mut near, mut region, mut far) = (Vec::new(), Vec::new(), Vec::new());
+    for (zone, zone_region) in zones {
+        let group = match (*zone == place.zone, *zone_region == place.region) {
+            (true, _) => &mut near,
+            (false, true) => &mut region,
+            (false, false) => &mut far,
+        };
+        let found = followers(zone, vms).into_iter().filter(|vm| vm != own);
+        group.extend(found.filter_map(|vm| vms.get_key_value(&vm)));
+    }
+    let near = ranked(own, SOURCE_INDEX, near, SMALL_ZONE_VMS);
+    let region = ranked(own, SOURCE_INDEX, region, SPARE_SOURCES);
+    let far = ranked(own, SOURCE_INDEX, far, SPARE_SOURCES);
+    near.into_iter().chain(region).chain(far).collect()
+}
+
+/// How a VM that is or is not a follower uses the store, while `vms` VMs run and
+/// its own news is `age_ms` old.
+pub fn store_use(is_follower: bool, vms: usize, age_ms: u64) -> StoreUse {
+    if is_follower {
+        return StoreUse::Follow;
+    }
+    if age_ms < FALLBACK_AGE_MS {
+        let for_ms = FALLBACK_AGE_MS - age_ms;
+        return StoreUse::Leave { for_ms };
+    }
+    let interval_ms = vms as u64 * 1_000 / FALLBACK_CALLS_PER_S;
+    StoreUse::Poll {
+        interval_ms: interval_ms.max(FALLBACK_INTERVAL_MIN_MS),
+    }
+}
+
+/// How a VM that does not know the other VMs yet uses the store, `running_ms`
+/// after its start.
+///
+/// When the whole system starts for the first time, there is nothing to serve
+/// yet, and the list is complete soon. A VM that restarts reads each table once.
+pub fn store_use_at_start(is_first_start: bool, is_loaded: bool, running_ms: u64) -> StoreUse {
+    let for_ms = VMS_WAIT_MS.saturating_sub(running_ms);
+    match for_ms > 0 && (is_first_start || is_loaded) {
+        true => StoreUse::Leave { for_ms },
+        false => StoreUse::Follow,
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct SourceHealth {
+    failures: u32,
+    retry_ms: u64,
+}
+
+/// The sources of a VM: which of them its subscriptions use.
+#[derive(Clone, Debug)]
+pub struct Sources {
+    ranking: Vec<Name>,
+    health: BTreeMap<Name, SourceHealth>,
+    in_use: Vec<Option<Name>>,
+}
+
+impl Sources {
+    /// Creates a choice for a number of subscriptions, without any source.
+    pub fn new(subscriptions: usize) -> Sources {
+        Sources {
+            ranking: Vec::new(),
+            health: BTreeMap::new(),
+            in_use: vec![None; subscriptions],
+        }
+    }
+
+    /// Sets the sources, best first.
+    pub fn set_ranking(&mut self, ranking: Vec<Name>) {
+        self.health.retain(|vm, _| ranking.contains(vm));
+        self.ranking = ranking;
+    }
+
+    /// The source that a subscription asks now: the best one that has not failed
+    /// and that no other subscription uses.
+    pub fn choose(&mut self, subscription: usize, now_ms: u64) -> Option<Name> {
+        let used = |vm: &Name| {
+            let others = self.in_use.iter().enumerate();
+            others
+                .filter(|(index, _)| *index != subscription)
+                .any(|(_, used)| used.as_ref() == Some(vm))
+        };
+        let is_due = |vm: &Name| self.health.get(vm).is_none_or(|h| h.retry_ms <= now_ms);
+        let chosen = self.ranking.iter().find(|vm| is_due(vm) && !used(vm));
+        let chosen = chosen.cloned();
+        if let Some(in_use) = self.in_use.get_mut(subscription) {
+            in_use.clone_from(&chosen);
+        }
+        chosen
+    }
+
+    /// Records that a source did not answer in time, or sent what can't be used.
+    /// `jitter` gives a random pause of at most the given one.
+    pub fn record_failure(&mut self, vm: &Name, now_ms: u64, jitter: impl FnOnce(u64) -> u64) {
+        let health = self.health.entry(vm.clone()).or_default();
+        health.failures += 1;
+        health.retry_ms = now_ms + jitter(SOURCE_BACKOFF.delay_ms(health.failures));
+    }
+
+    /// Records that a source answered with news of `age_ms`, while this VM's own
+    /// is `own_age_ms` old; returns whether the source is good.
+    pub fn record_answer(&mut self, vm: &Name, age_ms: u64, own_age_ms: u64) -> bool {
+        let is_good = age_ms <= own_age_ms + STALE_MARGIN_MS;
+        if is_good {
+            self.health.remove(vm);
+        }
+        is_good
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! - `relay`: statement processing for any protocol, given a pair of codecs.
 //! - `control`: coordination between VMs: membership, placement, failover and
 //!   configuration.
+//! - `news`: copies of the store's tables, passed between VMs.
 //! - `store`: client of the platform's table service, object store and VM list.
 //! - `settings`: the settings files that operators write.
 //! - `cmd`: the daemon and the command-line tool.
@@ -19,6 +20,7 @@
 pub mod logging;
 pub mod lsn;
 pub mod metrics;
+pub mod news;
 pub mod position;
 pub mod prelude;
 pub mod proxy;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -57,6 +57,10 @@
     /// Age of the floor, the minimum position that a read must see, when the read was
     /// granted, in milliseconds.
     pub floor_age_ms: Histogram<f64>,
+    /// Answers of VMs that were asked for news of the store, by outcome.
+    pub news_answers: Counter<u64>,
+    /// Age of the VM's news by table when more arrives, in milliseconds.
+    pub news_age_ms: Histogram<f64>,
     /// Bytes transferred in calls between VMs, by direction.
     pub peer_bytes: Counter<u64>,
 }
@@ -99,6 +103,8 @@
             probes: counter("foxtailknot_probes"),
             floor_timeouts: counter("foxtailknot_floor_timeouts"),
             floor_age_ms: meter.f64_histogram("foxtailknot_floor_age_ms").build(),
+            news_answers: counter("foxtailknot_news_answers"),
+            news_age_ms: meter.f64_histogram("foxtailknot_news_age_ms").build(),
             peer_bytes: counter("foxtailknot_peer_bytes"),
             _provider: provider,
         })
--- /dev/null
+++ b/src/news/message.rs
@@ -0,0 +1,40 @@
+//! The call by which a VM asks another one for news.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{decide::table_copy::TablePage, prelude::*};
+
+/// A request for news.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NewsRequest {
+    /// The asking VM.
+    pub from: Name,
+    /// Version up to which the asking VM's copy of each table is complete.
+    pub after: BTreeMap<Name, u64>,
+    /// Longest time to wait for changes, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// News of one table.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TableNews {
+    /// What the asking VM lacks.
+    pub page: TablePage,
+    /// Time since the store last confirmed the table, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// News of the tables that the asked VM has copies of.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct NewsAnswer {
+    /// News by table.
+    pub tables: BTreeMap<Name, TableNews>,
+}
+
+/// Calls for news between VMs.
+#[tarpc::service]
+pub trait NewsFeed {
+    /// Answers as soon as there are changes, or when the wait is over; `None`
+    /// while the VM stops.
+    async fn changes(request: NewsRequest) -> Option<NewsAnswer>;
+}
--- /dev/null
+++ b/src/news/mod.rs
@@ -0,0 +1,17 @@
+//! News of the store's tables, passed between VMs.
+//!
+//! A few VMs follow the store; the others subscribe to them by `tarpc`. Which
+//! VMs these are, and what a page of news changes, is decided in
+//! [`decide::news_sources`](crate::decide::news_sources) and
+//! [`decide::table_copy`](crate::decide::table_copy).
+
+mod hub;
+mod message;
+mod server;
+mod store_source;
+mod subscription;
+
+pub use hub::{FollowedTable, NewsHub, NewsOptions};
+pub use message::{NewsAnswer, NewsRequest, TableNews};
+pub use server::accept;
+pub use store_source::{SourceError, StoreSource};
--- /dev/null
+++ b/src/news/store_source.rs
@@ -0,0 +1,129 @@
+//! Follows a table of the store itself.
+
+use std::rc::Rc;
+
+use futures::future::LocalBoxFuture;
+use rand::Rng;
+
+use super::hub::{FollowedTable, Hub};
+use crate::{
+    decide::{news_sources::StoreUse, retry::Backoff, table_copy::TablePage},
+    prelude::*,
+};
+
+/// Pause before a call that failed is repeated. Few VMs follow the store, so that
+/// they may ask often.
+const RETRY: Backoff = Backoff {
+    base_ms: 300,
+    max_ms: 1_200,
+};
+/// Reason why the store gave no page.
+#[derive(Clone, Debug, derive_more::Display, derive_more::Error)]
+pub enum SourceError {
+    /// The store no longer keeps the changes that were asked for.
+    #[display("the store dropped its change history")]
+    HistoryDropped,
+    /// The call failed.
+    #[display("{text}")]
+    Unavailable {
+        /// Why.
+        text: String,
+    },
+}
+
+/// Result of this module.
+pub type Result<T> = std::result::Result<T, SourceError>;
+
+/// Functions that read the store.
+#[derive(Clone)]
+pub struct StoreSource {
+    /// Reads a whole table.
+    pub read: Rc<dyn Fn(&'static str) -> LocalBoxFuture<'static, Result<TablePage>>>,
+    /// Waits for changes of a table after a version, for at most a number of
+    /// milliseconds.
+    pub changes: Rc<dyn Fn(&'static str, u64, u64) -> LocalBoxFuture<'static, Result<TablePage>>>,
+}
+
+/// Follows a table as long as the process runs, while this VM is to.
+pub(super) async fn follow(hub: Rc<Hub>, table: FollowedTable) {
+    let mut failures = 0;
+    let mut wants_whole = true;
+    loop {
+        let store_use = hub.store_use(table.name);
+        match store_use {
+            StoreUse::Leave { for_ms } => {
+                hub.await_vms(for_ms).await;
+                continue;
+            }
+            StoreUse::Poll { interval_ms } => {
+                pause(interval_ms).await;
+                if !matches!(hub.store_use(table.name), StoreUse::Poll { .. }) {
+                    continue;
+                }
+            }
+            StoreUse::Follow => {}
+        }
+        let wait_ms = match store_use {
+            StoreUse::Follow => table.wait_ms,
+            _ => table.wait_ms.and(Some(0)),
+        };
+        match step(&hub, table.name, wait_ms, wants_whole).await {
+            Ok((page, version)) => {
+                let next_ms = match store_use {
+                    StoreUse::Follow => wait_ms.unwrap_or(table.read_interval_ms),
+                    _ => 0,
+                };
+                hub.apply_from_store(table.name, page, version, next_ms);
+                wants_whole = false;
+                if std::mem::take(&mut failures) > 0 {
+                    log::info!(target: "dependency", table = table.name; "store available again");
+                }
+                if wait_ms.is_none() {
+                    pause(table.read_interval_ms).await;
+                }
+            }
+            Err(SourceError::HistoryDropped) => {
+                log::info!(
+                    target: "dependency", table = table.name;
+                    "store dropped its change history; reading the whole table again"
+                );
+                wants_whole = true;
+            }
+            Err(error) => {
+                hub.lost_store(table.name);
+                if failures == 0 {
+                    log::warn!(
+                        target: "dependency", table = table.name, reason = error.to_string();
+                        "store unavailable; retrying"
+                    );
+                }
+                failures += 1;
+                let pause_ms = RETRY.jittered_ms(failures, &mut rand::rng());
+                compio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+    }
+}
+
+/// Reads the next changes of a table, or all of it if no wait is given. Returns
+/// also the version up to which the copy was complete before.
+async fn step(
+    hub: &Hub,
+    table: &'static str,
+    wait_ms: Option<u64>,
+    wants_whole: bool,
+) -> Result<(TablePage, u64)> {
+    let version = hub.version(table);
+    let wait_ms = wait_ms.filter(|_| !wants_whole && version > 0);
+    let page = match wait_ms {
+        Some(wait_ms) => (hub.source.changes)(table, version, wait_ms).await?,
+        None => (hub.source.read)(table).await?,
+    };
+    Ok((page, version))
+}
+
+/// Pauses for at most the interval, and at least for half of it.
+async fn pause(interval_ms: u64) {
+    let pause_ms = rand::rng().random_range(interval_ms / 2..=interval_ms);
+    compio::time::sleep(Duration::from_millis(pause_ms)).await;
+}
--- /dev/null
+++ b/src/news/subscription.rs
@@ -0,0 +1,105 @@
+//! Subscriptions to the news of other VMs.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use compio::net::TcpStream;
+use tarpc::client;
+
+use super::{hub::Hub, message::NewsFeedClient};
+use crate::{
+    control::peer_clients::{ByteCount, context_with_timeout, transport},
+    decision_log::decision,
+    prelude::*,
+};
+
+/// Longest time to connect to a source.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for an answer after its wait: round trips to another region, and
+/// a source that is busy.
+const ANSWER_MARGIN_MS: u64 = 700;
+/// Pause while there is no source.
+const NO_SOURCE_PAUSE_MS: u64 = 500;
+
+/// Error of a subscription.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("{text}")]
+struct SubscriptionError {
+    text: String,
+}
+
+type Result<T> = std::result::Result<T, SubscriptionError>;
+
+impl SubscriptionError {
+    fn new(error: impl std::fmt::Display) -> SubscriptionError {
+        SubscriptionError {
+            text: error.to_string(),
+        }
+    }
+}
+
+/// Asks one source after the other for news, always the best usable one.
+pub(super) async fn run(hub: Rc<Hub>, index: usize) {
+    let mut connected: Option<(Name, SocketAddr, NewsFeedClient)> = None;
+    loop {
+        let Some((source, address)) = hub.choose_source(index) else {
+            connected = None;
+            hub.await_vms(NO_SOURCE_PAUSE_MS).await;
+            continue;
+        };
+        let current = connected.take();
+        let current = current.filter(|(vm, at, _)| *vm == source && *at == address);
+        let client = match current {
+            Some((_, _, client)) => client,
+            None => match connect(address).await {
+                Ok(client) => {
+                    decision!(
+                        "news", source = &*source, address = address.to_string(),
+                        subscription = index; "source of news changed"
+                    );
+                    client
+                }
+                Err(error) => {
+                    hub.record_failure(&source, &error.text);
+                    continue;
+                }
+            },
+        };
+        match ask(&hub, &source, &client).await {
+            Ok(()) => connected = Some((source, address, client)),
+            Err(error) => hub.record_failure(&source, &error.text),
+        }
+    }
+}
+
+async fn ask(hub: &Hub, source: &Name, client: &NewsFeedClient) -> Result<()> {
+    let request = hub.request();
+    let timeout = Duration::from_millis(request.wait_ms + ANSWER_MARGIN_MS);
+    let call = client.changes(context_with_timeout(timeout), request);
+    let answer = compio::time::timeout(timeout, call).await;
+    let answer = answer.map_err(|_| SubscriptionError::new("no answer in time"))?;
+    let answer = answer.map_err(SubscriptionError::new)?;
+    let answer = answer.ok_or_else(|| SubscriptionError::new("the source is stopping"))?;
+    match hub.apply_answer(source, answer) {
+        true => Ok(()),
+        false => Err(SubscriptionError::new("its news is old or not usable")),
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<NewsFeedClient> {
+    let stream = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| SubscriptionError::new("no connection in time"))?;
+    let stream = stream.map_err(SubscriptionError::new)?;
+    stream.set_nodelay(true).map_err(SubscriptionError::new)?;
+    let new = NewsFeedClient::new(
+        client::Config::default(),
+        transport(stream, ByteCount::default()),
+    );
+    compio::runtime::spawn(async move {
+        if let Err(error) = new.dispatch.await {
+            // Its calls fail as well, which ends the subscription.
+            log::info!(target: "news", reason = error.to_string(); "connection to a source lost");
+        }
+    })
+    .detach();
+    Ok(new.client)
+}
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -196,13 +196,13 @@
     }
 
     /// Replaces the VMs by those that are active now.
-    pub fn update_vms(&self, vms: Vms) {
-        if **self.vms.borrow() == vms {
+    pub fn update_vms(&self, vms: impl Into<Rc<Vms>>) {
+        let vms = vms.into();
+        if *self.vms.borrow() == vms {
             return;
         }
         let names: Vec<&str> = vms.places.keys().map(|vm| &**vm).collect();
         decision!("placement", vms = names.join(" "); "active VMs changed");
-        let vms = Rc::new(vms);
         *self.vms.borrow_mut() = vms.clone();
         for service in self.services() {
             let message = ServiceMessage::Vms(vms.clone());
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -43,6 +43,11 @@
 /// The same while a member does not answer or the primary is being replaced.
 const FAILING_TICK_MS: u64 = 50;
 
+/// Time for which a service waits for the list of VMs before it connects to
+/// members, in milliseconds. Without the list, the VM can't know its share of their
+/// connections, and all VMs that start together would connect to every member.
+const VMS_WAIT_MS: u64 = 6_000;
+
 /// State shared by the tasks of a service.
 #[derive(Clone)]
 pub struct ServiceContext {
@@ -82,6 +87,8 @@
     context: ServiceContext,
     config: ServiceConfig,
     vms: Rc<Vms>,
+    /// Time at which the task started, in milliseconds.
+    started_ms: u64,
     members: BTreeMap<Name, Member>,
     primary: Option<Name>,
     /// Time at which the primary was lost, or the task started.
@@ -138,6 +145,7 @@
         context,
         config,
         vms: Rc::default(),
+        started_ms: clock::boot_ms(),
         members: BTreeMap::new(),
         primary: None,
         primary_missing_since_ms: clock::boot_ms(),
--- a/src/relay/service/connections.rs
+++ b/src/relay/service/connections.rs
@@ -13,6 +13,9 @@
     /// member's window leave room.
     pub(super) fn open_if_needed(&mut self, id: &Name, limit: usize) {
         let now_ms = clock::boot_ms();
+        if !self.may_connect(now_ms) {
+            return;
+        }
         let (Some(target), Some(member)) = (self.target(id), self.members.get_mut(id)) else {
             return;
         };
--- a/src/relay/service/paths.rs
+++ b/src/relay/service/paths.rs
@@ -44,6 +44,12 @@
         }
     }
 
+    /// Whether the VM knows which connections it may open, or has waited for that
+    /// long enough.
+    pub(super) fn may_connect(&self, now_ms: u64) -> bool {
+        !self.vms.places.is_empty() || now_ms >= self.started_ms + VMS_WAIT_MS
+    }
+
     /// Target of the path in use.
     pub(super) fn target(&self, id: &Name) -> Option<Target> {
         let member = self.members.get(id)?;
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -46,6 +46,9 @@
     }
 
     pub(super) fn start_probes(&mut self, now_ms: u64) {
+        if !self.may_connect(now_ms) {
+            return;
+        }
         let due: Vec<Name> = self
             .members
             .iter()
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -105,6 +105,11 @@
     /// Decides whether the primary is to be replaced, and schedules or starts a
     /// takeover.
     pub(super) fn watch_primary(&mut self, now_ms: u64) {
+        if !self.may_connect(now_ms) {
+            // Nobody has been asked yet who leads.
+            self.primary_missing_since_ms = now_ms;
+            return;
+        }
         let health = self.health(now_ms);
         self.probe_while_suspected(&health);
         let reason = replacement_reason(&health, &TAKEOVER_SETTINGS);
--- a/src/relay/vms.rs
+++ b/src/relay/vms.rs
@@ -9,8 +9,10 @@
 pub struct Vms {
     /// Zone, region and weight of each VM.
     pub places: BTreeMap<Name, VmPlace>,
-    /// Address at which each listens for other VMs.
+    /// Address at which each listens for other VMs' statements.
     pub addresses: BTreeMap<Name, SocketAddr>,
+    /// Address at which each gives news of the store to other VMs, if it does.
+    pub news_addresses: BTreeMap<Name, SocketAddr>,
 }
 
 impl Vms {
--- /dev/null
+++ b/tests/decide_news.rs
@@ -0,0 +1,372 @@
+//! Decisions about the news of the store: what a copy takes from a page, who
+//! follows the store, and which sources the other VMs use.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use foxtailknot::{
+    decide::{
+        holders::VmPlace,
+        news_sources::{
+            Sources, StoreUse, followers, is_follower, sources, store_use, store_use_at_start,
+        },
+        table_copy::{PageError, TableCopy, TablePage, TableRow},
+    },
+    prelude::Name,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
+use yare::parameterized;
+
+fn row(key: &str, version: u64) -> TableRow {
+    TableRow {
+        key: key.into(),
+        value: format!("{key}@{version}").into(),
+        version,
+        is_removed: false,
+    }
+}
+
+fn removed(key: &str, version: u64) -> TableRow {
+    TableRow {
+        is_removed: true,
+        ..row(key, version)
+    }
+}
+
+fn whole(version: u64, rows: Vec<TableRow>) -> TablePage {
+    TablePage {
+        after: None,
+        version,
+        rows,
+    }
+}
+
+fn changes(after: u64, version: u64, rows: Vec<TableRow>) -> TablePage {
+    TablePage {
+        after: Some(after),
+        version,
+        rows,
+    }
+}
+
+fn content(copy: &TableCopy) -> Vec<(String, u64)> {
+    let rows = copy.rows();
+    rows.map(|row| (row.key.to_string(), row.version)).collect()
+}
+
+fn copy_of(pages: Vec<TablePage>) -> TableCopy {
+    let mut copy = TableCopy::default();
+    for page in pages {
+        copy.apply(page).unwrap();
+    }
+    copy
+}
+
+#[parameterized(
+    whole_table = { vec![whole(5, vec![row("a", 3), row("b", 5)])], &[("a", 3), ("b", 5)], 5 },
+    changes_follow = {
+        vec![whole(5, vec![row("a", 3)]), changes(5, 9, vec![row("b", 7), removed("a", 8)])],
+        &[("b", 7)], 9
+    },
+    missing_from_a_whole_table = {
+        vec![whole(5, vec![row("a", 3), row("b", 4)]), whole(8, vec![row("b", 4)])],
+        &[("b", 4)], 8
+    },
+    older_whole_table = {
+        vec![whole(8, vec![row("b", 7)]), whole(5, vec![row("a", 3)])], &[("b", 7)], 8
+    },
+    same_page_twice = {
+        vec![whole(5, vec![row("a", 3)]), changes(5, 7, vec![row("a", 6)]),
+             changes(5, 7, vec![row("a", 6)])],
+        &[("a", 6)], 7
+    },
+    removed_row_does_not_return = {
+        vec![whole(5, vec![row("a", 3)]), changes(5, 7, vec![removed("a", 7)]),
+             changes(2, 6, vec![row("a", 6)])],
+        &[], 7
+    },
+    removed_and_forgotten_row_does_not_return = {
+        vec![whole(9, vec![]), changes(2, 6, vec![row("a", 6)])], &[], 9
+    },
+    older_changes = {
+        vec![whole(5, vec![row("a", 3)]), changes(5, 9, vec![row("a", 9)]),
+             changes(5, 7, vec![row("a", 6)])],
+        &[("a", 9)], 9
+    },
+)]
+fn copy_never_goes_back(pages: Vec<TablePage>, expected: &[(&str, u64)], version: u64) {
+    let copy = copy_of(pages);
+    let expected: Vec<(String, u64)> = expected.iter().map(|(k, v)| (k.to_string(), *v)).collect();
+    assert_eq!(content(&copy), expected);
+    assert_eq!(copy.version(), version);
+}
+
+#[parameterized(
+    gap = { changes(6, 9, vec![row("b", 8)]), PageError::Gap { after: 6, version: 5 } },
+    inverted = { changes(5, 4, vec![row("b", 8)]), PageError::Inverted { after: 5, version: 4 } },
+)]
+fn pages_that_do_not_fit_change_nothing(page: TablePage, expected: PageError) {
+    let mut copy = copy_of(vec![whole(5, vec![row("a", 3)])]);
+    assert_eq!(copy.apply(page), Err(expected));
+    assert_eq!(content(&copy), [("a".to_string(), 3)]);
+    assert_eq!(copy.version(), 5);
+}
+
+/// A copy fed by another one's pages, late, twice and in any order, ends up the
+/// same and never shows an older version of a row than before.
+#[test]
+fn copies_converge_whatever_the_order() {
+    for seed in 0..200 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut first = TableCopy::default();
+        first.apply(whole(1, vec![])).unwrap();
+        let mut second = TableCopy::default();
+        let mut pages = Vec::new();
+        let mut newest = BTreeMap::new();
+        for version in 2..60 {
+            let key = format!("k{}", random.random_range(0..6));
+            let change = match random.random_bool(0.3) {
+                true => removed(&key, version),
+                false => row(&key, version),
+            };
+            first
+                .apply(changes(version - 1, version, vec![change]))
+                .unwrap();
+            pages.push(first.page_after(random.random_range(0..=second.version())));
+            pages.shuffle(&mut random);
+            if random.random_bool(0.5) {
+                // The one that was drawn may be delivered again later.
+                let page = pages[0].clone();
+                second.apply(page).unwrap();
+            }
+            for (key, version) in content(&second) {
+                let before = newest.insert(key, version).unwrap_or(0);
+                assert!(before <= version, "seed {seed}");
+            }
+        }
+        second.apply(first.page_after(second.version())).unwrap();
+        assert_eq!(content(&second), content(&first), "seed {seed}");
+    }
+}
+
+/// Whoever lacks deletions that are no longer remembered gets the whole table.
+#[test]
+fn forgotten_deletions_are_told_by_the_whole_table() {
+    let mut copy = copy_of(vec![whole(1, vec![row("stays", 1)])]);
+    for version in 2..3_000 {
+        let key = format!("k{version}");
+        let page = changes(version - 1, version, vec![removed(&key, version)]);
+        copy.apply(page).unwrap();
+    }
+    assert_eq!(copy.page_after(2).after, None);
+    assert_eq!(copy.page_after(2_990).after, Some(2_990));
+    let mut behind = copy_of(vec![whole(2, vec![row("stays", 1), row("k3", 2)])]);
+    behind.apply(copy.page_after(2)).unwrap();
+    assert_eq!(content(&behind), [("stays".to_string(), 1)]);
+}
+
+fn vms(per_zone: usize, zones: &[(&str, &str)]) -> BTreeMap<Name, VmPlace> {
+    let mut vms = BTreeMap::new();
+    for (zone, region) in zones {
+        for number in 0..per_zone {
+            let place = VmPlace {
+                zone: (*zone).into(),
+                region: (*region).into(),
+                weight: if number < 3 { 0.5 } else { 0.12 },
+            };
+            vms.insert(format!("{zone}-{number}").into(), place);
+        }
+    }
+    vms
+}
+
+const ZONES: &[(&str, &str)] = &[
+    ("a1", "a"),
+    ("a2", "a"),
+    ("b1", "b"),
+    ("b2", "b"),
+    ("c1", "c"),
+    ("c2", "c"),
+];
+
+#[parameterized(
+    small_zones = { 5, 30 },
+    thirty = { 15, 12 },
+    three_hundred = { 50, 12 },
+    thousands = { 767, 12 },
+)]
+fn followers_grow_with_zones_only(per_zone: usize, expected: usize) {
+    let vms = vms(per_zone, ZONES);
+    let own = vms.keys().filter(|vm| is_follower(vm, &vms));
+    assert_eq!(own.count(), expected);
+}
+
+/// A VM asks the followers of its zone first, then of its region, never itself.
+#[test]
+fn sources_are_near() {
+    let vms = vms(50, ZONES);
+    for (vm, place) in &vms {
+        let ranking = sources(vm, &vms);
+        assert!(!ranking.contains(vm));
+        let zones: Vec<&Name> = ranking.iter().map(|source| &vms[source].zone).collect();
+        let here = 2 - usize::from(is_follower(vm, &vms));
+        assert!(zones[..here].iter().all(|zone| **zone == place.zone));
+        let in_region = &ranking[here..here + 2];
+        assert!(in_region.iter().all(|s| vms[s].region == place.region));
+        assert!(ranking.iter().all(|s| is_follower(s, &vms)));
+    }
+}
+
+/// A follower that leaves is replaced, and the others of its zone stay.
+#[test]
+fn followers_stay_when_another_vm_leaves() {
+    let before = vms(50, ZONES);
+    let zone: Name = "a1".into();
+    let chosen = followers(&zone, &before);
+    let mut after = before.clone();
+    after.remove(&chosen[0]);
+    let replaced = followers(&zone, &after);
+    assert!(replaced.contains(&chosen[1]));
+    assert!(!replaced.contains(&chosen[0]));
+}
+
+#[parameterized(
+    follower = { true, 300, 0, StoreUse::Follow },
+    follower_with_old_news = { true, 300, 60_000, StoreUse::Follow },
+    served_by_others = { false, 300, 1_000, StoreUse::Leave { for_ms: 2_500 } },
+    unserved = { false, 300, 3_500, StoreUse::Poll { interval_ms: 6_000 } },
+    unserved_of_few = { false, 20, 3_500, StoreUse::Poll { interval_ms: 500 } },
+    unserved_of_many = { false, 4_600, u64::MAX, StoreUse::Poll { interval_ms: 92_000 } },
+)]
+fn use_of_the_store(is_follower: bool, vms: usize, age_ms: u64, expected: StoreUse) {
+    assert_eq!(store_use(is_follower, vms, age_ms), expected);
+}
+
+#[parameterized(
+    first_start = { true, false, 1_000, StoreUse::Leave { for_ms: 5_000 } },
+    first_start_without_a_list = { true, false, 6_000, StoreUse::Follow },
+    restart = { false, false, 0, StoreUse::Follow },
+    restart_once_loaded = { false, true, 100, StoreUse::Leave { for_ms: 5_900 } },
+    restart_without_a_list = { false, true, 6_000, StoreUse::Follow },
+)]
+fn use_of_the_store_at_start(
+    is_first_start: bool,
+    is_loaded: bool,
+    running_ms: u64,
+    expected: StoreUse,
+) {
+    let found = store_use_at_start(is_first_start, is_loaded, running_ms);
+    assert_eq!(found, expected);
+}
+
+/// Two subscriptions use two sources; one that fails is left at once, and asked
+/// again later.
+#[test]
+fn failed_sources_are_left_and_tried_again() {
+    let mut choice = Sources::new(2);
+    choice.set_ranking(vec!["a".into(), "b".into(), "c".into()]);
+    assert_eq!(choice.choose(0, 0).as_deref(), Some("a"));
+    assert_eq!(choice.choose(1, 0).as_deref(), Some("b"));
+    choice.record_failure(&"a".into(), 0, |pause_ms| pause_ms);
+    assert_eq!(choice.choose(0, 10).as_deref(), Some("c"));
+    assert_eq!(choice.choose(1, 10).as_deref(), Some("b"));
+    assert_eq!(choice.choose(0, 1_000).as_deref(), Some("a"));
+    choice.record_failure(&"a".into(), 1_000, |pause_ms| pause_ms);
+    assert_eq!(choice.choose(0, 2_000).as_deref(), Some("c"));
+    assert!(choice.record_answer(&"a".into(), 0, 0));
+    assert_eq!(choice.choose(0, 2_000).as_deref(), Some("a"));
+}
+
+/// A source whose news is much older than this VM's own counts as failed; while
+/// the store is away, all news is old and no source is left.
+#[parameterized(
+    fresh = { 100, 100, true },
+    older_than_own = { 5_000, 500, false },
+    all_are_old = { 60_000, 59_000, true },
+    nothing_known_yet = { 60_000, u64::MAX / 2, true },
+)]
+fn sources_with_old_news(age_ms: u64, own_age_ms: u64, expected: bool) {
+    let mut choice = Sources::new(2);
+    choice.set_ranking(vec!["a".into()]);
+    let is_good = choice.record_answer(&"a".into(), age_ms, own_age_ms);
+    assert_eq!(is_good, expected);
+}
+
+/// On virtual time: 300 VMs, of which all followers of a zone die, or are cut from
+/// the store while they keep answering. Returns the age of the oldest news of any
+/// living VM at the end, and the number of calls that VMs without a source made.
+fn play(dead_zone: Option<&str>, cut_zone: Option<&str>) -> (u64, u64) {
+    const STEP_MS: u64 = 100;
+    const FAULT_MS: u64 = 5_000;
+    const END_MS: u64 = 20_000;
+    let vms = vms(50, ZONES);
+    let failed = |zone: Option<&str>| -> BTreeSet<Name> {
+        let zone = zone.map(Name::from);
+        zone.iter().flat_map(|zone| followers(zone, &vms)).collect()
+    };
+    let (dead, cut) = (failed(dead_zone), failed(cut_zone));
+    let mut random = StdRng::seed_from_u64(7);
+    let mut choices: BTreeMap<Name, Sources> = BTreeMap::new();
+    for vm in vms.keys() {
+        let mut choice = Sources::new(2);
+        choice.set_ranking(sources(vm, &vms));
+        choices.insert(vm.clone(), choice);
+    }
+    let mut confirmed: BTreeMap<Name, u64> = vms.keys().map(|vm| (vm.clone(), 0)).collect();
+    let following: BTreeSet<Name> = vms
+        .keys()
+        .filter(|vm| is_follower(vm, &vms))
+        .cloned()
+        .collect();
+    let mut calls = 0;
+    for now_ms in (0..END_MS).step_by(STEP_MS as usize) {
+        let is_faulty = now_ms >= FAULT_MS;
+        for vm in vms.keys().filter(|vm| !(is_faulty && dead.contains(*vm))) {
+            let age_ms = now_ms - confirmed[vm];
+            match store_use(following.contains(vm), vms.len(), age_ms) {
+                StoreUse::Follow if !(is_faulty && cut.contains(vm)) => {
+                    confirmed.insert(vm.clone(), now_ms);
+                }
+                StoreUse::Poll { interval_ms } => {
+                    if random.random_range(0..interval_ms) < STEP_MS {
+                        calls += 1;
+                        confirmed.insert(vm.clone(), now_ms);
+                    }
+                }
+                _ => {}
+            }
+            // Each subscription asks once a second.
+            if (now_ms / STEP_MS + vm.len() as u64).is_multiple_of(10) {
+                for index in 0..2 {
+                    let choice = choices.get_mut(vm).unwrap();
+                    let Some(source) = choice.choose(index, now_ms) else {
+                        continue;
+                    };
+                    let source_age_ms = now_ms - confirmed[&source];
+                    let own_age_ms = now_ms - confirmed[vm];
+                    let is_dead = is_faulty && dead.contains(&source);
+                    if is_dead || !choice.record_answer(&source, source_age_ms, own_age_ms) {
+                        choice.record_failure(&source, now_ms, |pause_ms| pause_ms);
+                        continue;
+                    }
+                    let newer = confirmed[&source].max(confirmed[vm]);
+                    confirmed.insert(vm.clone(), newer);
+                }
+            }
+        }
+    }
+    let living = confirmed.iter().filter(|(vm, _)| !dead.contains(*vm));
+    let oldest = living.map(|(_, at)| END_MS - at).max().unwrap();
+    (oldest, calls)
+}
+
+#[parameterized(
+    calm = { None, None },
+    followers_of_a_zone_die = { Some("a1"), None },
+    followers_of_a_zone_are_cut_from_the_store = { None, Some("b2") },
+    both = { Some("a1"), Some("c1") },
+)]
+fn others_serve_when_followers_fail(dead_zone: Option<&str>, cut_zone: Option<&str>) {
+    let (oldest_ms, calls) = play(dead_zone, cut_zone);
+    assert!(oldest_ms <= 3_500, "news is {oldest_ms} ms old");
+    assert!(calls <= 50, "{calls} calls of VMs that are no followers");
+}
