Pass floors between VMs with the news

A VM has 0.6 reads a second of a service. Its last floor is too old by the next one, so it asks for a new one, which no replica has reached yet (they are 90 ms behind); the read then goes to the primary (busiest member 6.1 times the mean).

Change: each request for news carries the floors that the VM raised since the last answer, each answer the newest ones known. Times are passed on relative to events that both VMs know, so that a delayed message makes a floor older, never newer (decide/floor_news.rs).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,6 +10,7 @@
 pub mod classify;
 pub mod dispatch;
 pub mod failover;
+pub mod floor_news;
 pub mod holders;
 pub mod leadership;
 pub mod member;
--- a/src/news/hub.rs
+++ b/src/news/hub.rs
@@ -17,6 +17,7 @@
 use crate::{
     clock,
     decide::{
+        floor_news::{Floors, LastAnswer, since_of_answer, since_of_request},
         news_sources::{Sources, StoreUse, is_follower, sources, store_use, store_use_at_start},
         table_copy::{TableCopy, TablePage},
     },
@@ -33,8 +34,6 @@
 /// How long a subscription waits for changes, in milliseconds. A source that
 /// fails is noticed after this time and that of a call.
 const WAIT_MS: u64 = 1_000;
-/// The same for a VM that follows the store itself.
-const FOLLOWER_WAIT_MS: u64 = 3_000;
 
 /// A table that is followed.
 #[derive(Clone)]
@@ -61,10 +60,16 @@
     pub tables: Vec<FollowedTable>,
     /// Whether the whole system starts for the first time.
     pub is_first_start: bool,
+    /// Called with the floors of services that other VMs raised: all commits
+    /// acknowledged before a time, in milliseconds, lie at or before a position.
+    pub on_floor: FloorListener,
     /// Metrics.
     pub metrics: Metrics,
 }
 
+/// Is told of floors: the service, the time in milliseconds, the position.
+pub type FloorListener = Rc<dyn Fn(&Name, u64, Position)>;
+
 struct Followed {
     table: FollowedTable,
     copy: TableCopy,
@@ -80,6 +85,8 @@
     started_ms: u64,
     pub(super) source: StoreSource,
     tables: RefCell<BTreeMap<Name, Followed>>,
+    floors: RefCell<Floors>,
+    on_floor: FloorListener,
     vms: RefCell<Option<Rc<Vms>>>,
     /// Time at which the VM began or ceased to follow the store, in milliseconds.
     role_since_ms: Cell<u64>,
@@ -116,6 +123,8 @@
             started_ms: clock::boot_ms(),
             source: options.source,
             tables: RefCell::new(tables.collect()),
+            floors: RefCell::default(),
+            on_floor: options.on_floor,
             vms: RefCell::new(None),
             role_since_ms: Cell::new(0),
             is_follower: Cell::new(false),
@@ -176,6 +185,12 @@
         hub.vms_changed.send_modify(|changes| *changes += 1);
     }
 
+    /// Passes a floor that this VM raised on to others.
+    pub fn raise_floor(&self, service: &Name, since_ms: u64, position: Position) {
+        let mut floors = self.0.floors.borrow_mut();
+        floors.raise(service, since_ms, position);
+    }
+
     /// Takes a whole table that was read from the store otherwise.
     pub fn apply(&self, table: &str, page: TablePage) {
         let version = self.0.version(table);
@@ -296,6 +311,16 @@
     /// Waits until there is news for a request, or its wait is over; `None` once
     /// this VM gives no more news.
     pub(super) async fn answer(&self, request: &NewsRequest) -> Option<NewsAnswer> {
+        let arrived_ms = clock::boot_ms();
+        for (service, floor) in &request.floors.floors {
+            match since_of_request(request.floors.echo_ms, floor, arrived_ms) {
+                Some(since_ms) => self.hear_floor(service, since_ms, floor.position),
+                None => log::warn!(
+                    target: "news", source = &*request.from, service = &**service;
+                    "floor of an impossible time refused"
+                ),
+            }
+        }
         let limit = Duration::from_millis(request.wait_ms.min(WAIT_MAX_MS));
         let mut changed = self.changed.subscribe();
         let has_news = async {
@@ -320,21 +345,28 @@
         });
         Some(NewsAnswer {
             tables: known.collect(),
+            written_ms: now_ms,
+            floors: self.floors.borrow().aged(now_ms),
         })
     }
 
-    /// The next request of a subscription.
-    pub(super) fn request(&self) -> NewsRequest {
+    fn hear_floor(&self, service: &Name, since_ms: u64, position: Position) {
+        let is_newer = self.floors.borrow_mut().raise(service, since_ms, position);
+        if is_newer {
+            (self.on_floor)(service, since_ms, position);
+        }
+    }
+
+    /// The next request of a subscription, after its last answer.
+    pub(super) fn request(&self, last: Option<LastAnswer>) -> NewsRequest {
         let tables = self.tables.borrow();
         let after = tables.iter();
         let after = after.map(|(name, f)| (name.clone(), f.copy.version()));
         NewsRequest {
             from: self.vm.clone(),
             after: after.collect(),
-            wait_ms: match self.is_follower.get() {
-                true => FOLLOWER_WAIT_MS,
-                false => WAIT_MS,
-            },
+            floors: last.map_or_else(Default::default, |last| self.floors.borrow().echoed(last)),
+            wait_ms: WAIT_MS,
         }
     }
 
@@ -346,8 +378,12 @@
         Some((source, address))
     }
 
-    /// Applies the answer of a source; returns whether the source is good.
-    pub(super) fn apply_answer(&self, source: &Name, answer: NewsAnswer) -> bool {
+    /// Applies the answer of a source to a request of `asked_ms`; returns whether the
+    /// source is good.
+    pub(super) fn apply_answer(&self, source: &Name, answer: NewsAnswer, asked_ms: u64) -> bool {
+        for (service, floor) in &answer.floors {
+            self.hear_floor(service, since_of_answer(asked_ms, floor), floor.position);
+        }
         let mut is_good = true;
         for (name, news) in answer.tables {
             let own_age_ms = self.age_ms(&name);
--- a/src/news/message.rs
+++ b/src/news/message.rs
@@ -2,7 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{decide::table_copy::TablePage, prelude::*};
+use crate::{
+    decide::{
+        floor_news::{AgedFloor, EchoedFloors},
+        table_copy::TablePage,
+    },
+    prelude::*,
+};
 
 /// A request for news.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -11,6 +17,8 @@
     pub from: Name,
     /// Version up to which the asking VM's copy of each table is complete.
     pub after: BTreeMap<Name, u64>,
+    /// Floors that the asking VM raised since the last answer.
+    pub floors: EchoedFloors,
     /// Longest time to wait for changes, in milliseconds.
     pub wait_ms: u64,
 }
@@ -29,6 +37,10 @@
 pub struct NewsAnswer {
     /// News by table.
     pub tables: BTreeMap<Name, TableNews>,
+    /// Time of the answer on the clock of the answering VM, in milliseconds.
+    pub written_ms: u64,
+    /// Floors by service.
+    pub floors: BTreeMap<Name, AgedFloor>,
 }
 
 /// Calls for news between VMs.
--- a/src/news/mod.rs
+++ b/src/news/mod.rs
@@ -11,7 +11,7 @@
 mod store_source;
 mod subscription;
 
-pub use hub::{FollowedTable, NewsHub, NewsOptions};
+pub use hub::{FloorListener, FollowedTable, NewsHub, NewsOptions};
 pub use message::{NewsAnswer, NewsRequest, TableNews};
 pub use server::accept;
 pub use store_source::{SourceError, StoreSource};
--- a/src/news/subscription.rs
+++ b/src/news/subscription.rs
@@ -7,7 +7,9 @@
 
 use super::{hub::Hub, message::NewsFeedClient};
 use crate::{
+    clock,
     control::peer_clients::{ByteCount, context_with_timeout, transport},
+    decide::floor_news::LastAnswer,
     decision_log::decision,
     prelude::*,
 };
@@ -37,9 +39,17 @@
     }
 }
 
+/// A source that a subscription is connected to.
+struct Source {
+    vm: Name,
+    address: SocketAddr,
+    client: NewsFeedClient,
+    last: Option<LastAnswer>,
+}
+
 /// Asks one source after the other for news, always the best usable one.
 pub(super) async fn run(hub: Rc<Hub>, index: usize) {
-    let mut connected: Option<(Name, SocketAddr, NewsFeedClient)> = None;
+    let mut connected: Option<Source> = None;
     loop {
         let Some((source, address)) = hub.choose_source(index) else {
             connected = None;
@@ -47,16 +57,21 @@
             continue;
         };
         let current = connected.take();
-        let current = current.filter(|(vm, at, _)| *vm == source && *at == address);
-        let client = match current {
-            Some((_, _, client)) => client,
+        let current = current.filter(|c| c.vm == source && c.address == address);
+        let mut current = match current {
+            Some(current) => current,
             None => match connect(address).await {
                 Ok(client) => {
                     decision!(
                         "news", source = &*source, address = address.to_string(),
                         subscription = index; "source of news changed"
                     );
-                    client
+                    Source {
+                        vm: source.clone(),
+                        address,
+                        client,
+                        last: None,
+                    }
                 }
                 Err(error) => {
                     hub.record_failure(&source, &error.text);
@@ -64,22 +79,29 @@
                 }
             },
         };
-        match ask(&hub, &source, &client).await {
-            Ok(()) => connected = Some((source, address, client)),
+        match ask(&hub, &mut current).await {
+            Ok(()) => connected = Some(current),
             Err(error) => hub.record_failure(&source, &error.text),
         }
     }
 }
 
-async fn ask(hub: &Hub, source: &Name, client: &NewsFeedClient) -> Result<()> {
-    let request = hub.request();
+async fn ask(hub: &Hub, source: &mut Source) -> Result<()> {
+    let asked_ms = clock::boot_ms();
+    let request = hub.request(source.last);
     let timeout = Duration::from_millis(request.wait_ms + ANSWER_MARGIN_MS);
-    let call = client.changes(context_with_timeout(timeout), request);
+    let call = source
+        .client
+        .changes(context_with_timeout(timeout), request);
     let answer = compio::time::timeout(timeout, call).await;
     let answer = answer.map_err(|_| SubscriptionError::new("no answer in time"))?;
     let answer = answer.map_err(SubscriptionError::new)?;
     let answer = answer.ok_or_else(|| SubscriptionError::new("the source is stopping"))?;
-    match hub.apply_answer(source, answer) {
+    source.last = Some(LastAnswer {
+        written_ms: answer.written_ms,
+        arrived_ms: clock::boot_ms(),
+    });
+    match hub.apply_answer(&source.vm, answer, asked_ms) {
         true => Ok(()),
         false => Err(SubscriptionError::new("its news is old or not usable")),
     }
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -210,6 +210,12 @@
         }
     }
 
+    /// Takes a floor that another VM raised.
+    pub fn hear_floor(&self, service: &Name, since_ms: u64, position: Position) {
+        let message = ServiceMessage::FloorHeard { since_ms, position };
+        self.shared.send(service, message);
+    }
+
     fn services(&self) -> Vec<Name> {
         self.shared.services.borrow().keys().cloned().collect()
     }
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -186,6 +186,13 @@
         /// The position.
         position: Position,
     },
+    /// Another VM raised a floor.
+    FloorHeard {
+        /// Time before which the commits were acknowledged, in milliseconds.
+        since_ms: u64,
+        /// Position at or before which they lie.
+        position: Position,
+    },
     /// A statement on a member failed or is late.
     Suspect {
         /// Id of the member.
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -5,7 +5,7 @@
 use futures::future::LocalBoxFuture;
 
 use super::Codecs;
-use crate::prelude::*;
+use crate::{news::FloorListener, prelude::*};
 
 /// Temporary right of one VM to replace the primary of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,6 +62,8 @@
     pub codecs: Codecs,
     /// Grants claims and promotes members.
     pub authority: Authority,
+    /// Is told of each floor that this VM raises, so that other VMs can use it.
+    pub on_floor: FloorListener,
     /// Longest time of a graceful shutdown, in milliseconds.
     pub grace_ms: u64,
     /// Time after which a leaving member must get no requests, in milliseconds.
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -222,6 +222,10 @@
             ServiceMessage::Observed { since_ms, position } => {
                 self.raise_floor(since_ms, position, "statement");
             }
+            // Other VMs pass it on themselves.
+            ServiceMessage::FloorHeard { since_ms, position } => {
+                self.ages.observe(since_ms, position);
+            }
             ServiceMessage::Suspect { member, is_commit } => self.suspect(&member, is_commit),
             ServiceMessage::Committed => self.stuck_commit = None,
             ServiceMessage::NotPrimary { member } => self.not_primary(&member),
@@ -284,6 +288,7 @@
             position = position.to_string(), source = source; "floor raised"
         );
         self.ages.observe(since_ms, position);
+        (self.context.options.on_floor)(&self.context.service, since_ms, position);
     }
 
     /// The member that reports itself primary in the highest term reported by any
--- a/tests/decide_news.rs
+++ b/tests/decide_news.rs
@@ -5,12 +5,15 @@
 
 use foxtailknot::{
     decide::{
+        floor_news::{EchoedFloor, Floors, LastAnswer, since_of_answer, since_of_request},
         holders::VmPlace,
         news_sources::{
             Sources, StoreUse, followers, is_follower, sources, store_use, store_use_at_start,
         },
         table_copy::{PageError, TableCopy, TablePage, TableRow},
     },
+    lsn::Lsn,
+    position::Position,
     prelude::Name,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
@@ -370,3 +373,105 @@
     assert!(oldest_ms <= 3_500, "news is {oldest_ms} ms old");
     assert!(calls <= 50, "{calls} calls of VMs that are no followers");
 }
+
+/// A VM that knows floors, with a clock of its own.
+struct FloorVm {
+    clock_ahead_ms: u64,
+    floors: Floors,
+    last: Option<LastAnswer>,
+}
+
+impl FloorVm {
+    fn raise(&mut self, since_ms: u64, position: Position, real_ms: u64) {
+        let real_since_ms = since_ms as i64 - self.clock_ahead_ms as i64;
+        assert!(
+            position.lsn.0 as i64 >= real_since_ms,
+            "a floor of {real_since_ms} holds only commits up to {position} at {real_ms}"
+        );
+        self.floors.raise(&"s".into(), since_ms, position);
+    }
+
+    fn now_ms(&self, real_ms: u64) -> u64 {
+        real_ms + self.clock_ahead_ms
+    }
+}
+
+/// Whatever the delays and the clocks, a floor that was passed on never claims to
+/// hold commits of a later time than it does. The log's position is the time.
+#[test]
+fn floors_of_other_vms_are_never_taken_for_newer() {
+    let mut passed_on = 0;
+    for seed in 0..300 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut vms: Vec<FloorVm> = (0..2)
+            .map(|_| FloorVm {
+                clock_ahead_ms: random.random_range(0..1_000_000),
+                floors: Floors::default(),
+                last: None,
+            })
+            .collect();
+        let mut real_ms = 5_000;
+        for _ in 0..40 {
+            real_ms += random.random_range(0..700);
+            // One of them asks the primary; the answer is at least as new as the question.
+            let index = random.random_range(0..2);
+            let since_ms = vms[index].now_ms(real_ms);
+            let position = Position::new(1, Lsn(real_ms + random.random_range(0..50)));
+            vms[index].raise(since_ms, position, real_ms);
+            // The first asks the second for news.
+            let asked_ms = vms[0].now_ms(real_ms);
+            let request = vms[0].last.map(|last| vms[0].floors.echoed(last));
+            real_ms += random.random_range(0..3_000);
+            let arrived_ms = vms[1].now_ms(real_ms);
+            let request = request.unwrap_or_default();
+            for floor in request.floors.values() {
+                let since_ms = since_of_request(request.echo_ms, floor, arrived_ms).unwrap();
+                vms[1].raise(since_ms, floor.position, real_ms);
+                passed_on += 1;
+            }
+            let written_ms = vms[1].now_ms(real_ms);
+            let answer = vms[1].floors.aged(written_ms);
+            real_ms += random.random_range(0..3_000);
+            for floor in answer.values() {
+                vms[0].raise(since_of_answer(asked_ms, floor), floor.position, real_ms);
+                passed_on += 1;
+            }
+            let arrived_ms = vms[0].now_ms(real_ms);
+            vms[0].last = Some(LastAnswer {
+                written_ms,
+                arrived_ms,
+            });
+        }
+    }
+    assert!(passed_on > 5_000, "{passed_on}");
+}
+
+#[parameterized(
+    no_answer_before = { 0, 5, None },
+    answer_of_the_future = { 20_000, 0, None },
+    floor_of_the_future = { 9_000, 5_000, None },
+    before_the_clock = { 9_000, -10_000, None },
+    usual = { 9_000, 500, Some(9_498) },
+)]
+fn floors_of_impossible_times_are_refused(echo_ms: u64, offset_ms: i64, expected: Option<u64>) {
+    let floor = EchoedFloor {
+        position: Position::new(1, Lsn(7)),
+        offset_ms,
+    };
+    assert_eq!(since_of_request(echo_ms, &floor, 10_000), expected);
+}
+
+/// Only the newest floors are passed on, and none that is too old to be of use.
+#[test]
+fn passed_on_floors_are_bounded() {
+    let mut floors = Floors::default();
+    for number in 0..200 {
+        let position = Position::new(1, Lsn(number));
+        floors.raise(&format!("s{number}").into(), 10_000 + number, position);
+    }
+    floors.raise(&"old".into(), 10, Position::new(1, Lsn(1)));
+    let aged = floors.aged(10_200);
+    assert_eq!(aged.len(), 64);
+    assert!(aged.contains_key("s199") && !aged.contains_key("s0") && !aged.contains_key("old"));
+    assert!(!floors.raise(&"s5".into(), 10_000, Position::new(2, Lsn(9))));
+}
