Count floors of an answer from the arrival of its request

Cause: an answer waits for up to a second, but its floors were taken for as old as if it had been written when it was asked for.

Change: both directions give the distance from the arrival of the message that they answer. The wait for changes is 0.6 s.

--- a/src/decide/floor_news.rs
+++ b/src/decide/floor_news.rs
@@ -20,22 +20,13 @@
 /// Most floors in one message; the newest are sent.
 const FLOORS_MAX: usize = 64;
 
-/// A floor in an answer.
+/// A floor in a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AgedFloor {
+pub struct OffsetFloor {
     /// The position.
     pub position: Position,
-    /// Age when the answer was written, in milliseconds.
-    pub age_ms: u64,
-}
-
-/// A floor in a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EchoedFloor {
-    /// The position.
-    pub position: Position,
-    /// Time of the floor, counted from the arrival of the last answer at the
-    /// requesting VM, in milliseconds.
+    /// Time of the floor, counted from when the message that this one answers
+    /// arrived at the sender, in milliseconds.
     pub offset_ms: i64,
 }
 
@@ -46,7 +37,7 @@
     /// milliseconds.
     pub echo_ms: u64,
     /// Floors by service.
-    pub floors: BTreeMap<Name, EchoedFloor>,
+    pub floors: BTreeMap<Name, OffsetFloor>,
 }
 
 /// The last answer of a source on one connection.
@@ -76,55 +67,43 @@
         true
     }
 
-    /// The newest floors, for an answer written at `now_ms`.
-    pub fn aged(&self, now_ms: u64) -> BTreeMap<Name, AgedFloor> {
-        let newest = self.newest_since(now_ms.saturating_sub(AGE_MAX_MS));
-        let aged = newest.map(|(service, since_ms, position)| {
-            let age_ms = now_ms.saturating_sub(since_ms);
-            (service.clone(), AgedFloor { position, age_ms })
-        });
-        aged.collect()
+    /// The newest floors, for an answer written at `now_ms` to a request that arrived
+    /// at `arrived_ms`.
+    pub fn for_answer(&self, arrived_ms: u64, now_ms: u64) -> BTreeMap<Name, OffsetFloor> {
+        self.offset_from(arrived_ms, now_ms.saturating_sub(AGE_MAX_MS))
     }
 
     /// The floors raised since the last answer of a source was written, for the next
     /// request to it.
     pub fn echoed(&self, last: LastAnswer) -> EchoedFloors {
-        let newest = self.newest_since(last.arrived_ms);
-        let floors = newest.map(|(service, since_ms, position)| {
-            let offset_ms = since_ms as i64 - last.arrived_ms as i64;
-            let floor = EchoedFloor {
-                position,
-                offset_ms,
-            };
-            (service.clone(), floor)
-        });
         EchoedFloors {
             echo_ms: last.written_ms,
-            floors: floors.collect(),
+            floors: self.offset_from(last.arrived_ms, last.arrived_ms),
         }
     }
 
-    fn newest_since(&self, from_ms: u64) -> impl Iterator<Item = (&Name, u64, Position)> {
+    /// The newest floors after `from_ms`, with their offsets from `arrived_ms`.
+    fn offset_from(&self, arrived_ms: u64, from_ms: u64) -> BTreeMap<Name, OffsetFloor> {
         let recent = self.floors.iter();
-        let recent = recent.filter(move |(_, (since_ms, _))| *since_ms > from_ms);
-        let mut recent: Vec<(&Name, u64, Position)> = recent
-            .map(|(service, (since_ms, p))| (service, *since_ms, *p))
-            .collect();
-        recent.sort_by_key(|(_, since_ms, _)| std::cmp::Reverse(*since_ms));
+        let mut recent: Vec<_> = recent.filter(|(_, floor)| floor.0 > from_ms).collect();
+        recent.sort_by_key(|(_, floor)| std::cmp::Reverse(floor.0));
         recent.truncate(FLOORS_MAX);
-        recent.into_iter()
+        let floors = recent.into_iter().map(|(service, (since_ms, position))| {
+            let floor = OffsetFloor {
+                position: *position,
+                offset_ms: *since_ms as i64 - arrived_ms as i64,
+            };
+            (service.clone(), floor)
+        });
+        floors.collect()
     }
 }
 
-/// Time of a floor in the answer to a request that was sent at `asked_ms`.
-pub fn since_of_answer(asked_ms: u64, floor: &AgedFloor) -> u64 {
-    asked_ms.saturating_sub(floor.age_ms + ROUNDING_MS)
-}
-
-/// Time of a floor in a request that echoes an answer written at `echo_ms`; `None`
-/// if it can't be, at `now_ms`.
-pub fn since_of_request(echo_ms: u64, floor: &EchoedFloor, now_ms: u64) -> Option<u64> {
-    let since_ms = echo_ms.checked_add_signed(floor.offset_ms)?;
-    let is_possible = echo_ms > 0 && echo_ms <= now_ms && since_ms <= now_ms;
+/// Time of a floor in a message that answers one which this VM sent at `sent_ms`;
+/// `None` if it can't be, at `now_ms`. The sender counted from when that message
+/// arrived, which was later.
+pub fn floor_since(sent_ms: u64, floor: &OffsetFloor, now_ms: u64) -> Option<u64> {
+    let since_ms = sent_ms.checked_add_signed(floor.offset_ms)?;
+    let is_possible = sent_ms > 0 && sent_ms <= now_ms && since_ms <= now_ms;
     is_possible.then(|| since_ms.saturating_sub(ROUNDING_MS))
 }
--- a/src/news/hub.rs
+++ b/src/news/hub.rs
@@ -17,7 +17,7 @@
 use crate::{
     clock,
     decide::{
-        floor_news::{Floors, LastAnswer, since_of_answer, since_of_request},
+        floor_news::{Floors, LastAnswer, OffsetFloor, floor_since},
         news_sources::{Sources, StoreUse, is_follower, sources, store_use, store_use_at_start},
         table_copy::{TableCopy, TablePage},
     },
@@ -33,7 +33,7 @@
 const WAIT_MAX_MS: u64 = 5_000;
 /// How long a subscription waits for changes, in milliseconds. A source that
 /// fails is noticed after this time and that of a call.
-const WAIT_MS: u64 = 1_000;
+const WAIT_MS: u64 = 600;
 
 /// A table that is followed.
 #[derive(Clone)]
@@ -312,15 +312,11 @@
     /// this VM gives no more news.
     pub(super) async fn answer(&self, request: &NewsRequest) -> Option<NewsAnswer> {
         let arrived_ms = clock::boot_ms();
-        for (service, floor) in &request.floors.floors {
-            match since_of_request(request.floors.echo_ms, floor, arrived_ms) {
-                Some(since_ms) => self.hear_floor(service, since_ms, floor.position),
-                None => log::warn!(
-                    target: "news", source = &*request.from, service = &**service;
-                    "floor of an impossible time refused"
-                ),
-            }
-        }
+        self.hear_floors(
+            &request.from,
+            &request.floors.floors,
+            request.floors.echo_ms,
+        );
         let limit = Duration::from_millis(request.wait_ms.min(WAIT_MAX_MS));
         let mut changed = self.changed.subscribe();
         let has_news = async {
@@ -346,14 +342,27 @@
         Some(NewsAnswer {
             tables: known.collect(),
             written_ms: now_ms,
-            floors: self.floors.borrow().aged(now_ms),
+            floors: self.floors.borrow().for_answer(arrived_ms, now_ms),
         })
     }
 
-    fn hear_floor(&self, service: &Name, since_ms: u64, position: Position) {
-        let is_newer = self.floors.borrow_mut().raise(service, since_ms, position);
-        if is_newer {
-            (self.on_floor)(service, since_ms, position);
+    /// Takes the floors of a message that answers one which this VM sent at `sent_ms`.
+    fn hear_floors(&self, from: &Name, floors: &BTreeMap<Name, OffsetFloor>, sent_ms: u64) {
+        let now_ms = clock::boot_ms();
+        for (service, floor) in floors {
+            let Some(since_ms) = floor_since(sent_ms, floor, now_ms) else {
+                log::warn!(
+                    target: "news", source = &**from, service = &**service;
+                    "floor of an impossible time refused"
+                );
+                continue;
+            };
+            let mut known = self.floors.borrow_mut();
+            let is_newer = known.raise(service, since_ms, floor.position);
+            drop(known);
+            if is_newer {
+                (self.on_floor)(service, since_ms, floor.position);
+            }
         }
     }
 
@@ -381,9 +390,7 @@
     /// Applies the answer of a source to a request of `asked_ms`; returns whether the
     /// source is good.
     pub(super) fn apply_answer(&self, source: &Name, answer: NewsAnswer, asked_ms: u64) -> bool {
-        for (service, floor) in &answer.floors {
-            self.hear_floor(service, since_of_answer(asked_ms, floor), floor.position);
-        }
+        self.hear_floors(source, &answer.floors, asked_ms);
         let mut is_good = true;
         for (name, news) in answer.tables {
             let own_age_ms = self.age_ms(&name);
--- a/src/news/message.rs
+++ b/src/news/message.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     decide::{
-        floor_news::{AgedFloor, EchoedFloors},
+        floor_news::{EchoedFloors, OffsetFloor},
         table_copy::TablePage,
     },
     prelude::*,
@@ -40,7 +40,7 @@
     /// Time of the answer on the clock of the answering VM, in milliseconds.
     pub written_ms: u64,
     /// Floors by service.
-    pub floors: BTreeMap<Name, AgedFloor>,
+    pub floors: BTreeMap<Name, OffsetFloor>,
 }
 
 /// Calls for news between VMs.
--- a/tests/decide_news.rs
+++ b/tests/decide_news.rs
@@ -5,7 +5,7 @@
 
 use foxtailknot::{
     decide::{
-        floor_news::{EchoedFloor, Floors, LastAnswer, since_of_answer, since_of_request},
+        floor_news::{Floors, LastAnswer, OffsetFloor, floor_since},
         holders::VmPlace,
         news_sources::{
             Sources, StoreUse, followers, is_follower, sources, store_use, store_use_at_start,
@@ -425,15 +425,20 @@
             let arrived_ms = vms[1].now_ms(real_ms);
             let request = request.unwrap_or_default();
             for floor in request.floors.values() {
-                let since_ms = since_of_request(request.echo_ms, floor, arrived_ms).unwrap();
+                let since_ms = floor_since(request.echo_ms, floor, arrived_ms).unwrap();
                 vms[1].raise(since_ms, floor.position, real_ms);
                 passed_on += 1;
             }
+            // It may wait before it answers, and hear of a floor meanwhile.
+            real_ms += random.random_range(0..1_000);
             let written_ms = vms[1].now_ms(real_ms);
-            let answer = vms[1].floors.aged(written_ms);
+            let position = Position::new(1, Lsn(real_ms));
+            vms[1].raise(written_ms, position, real_ms);
+            let answer = vms[1].floors.for_answer(arrived_ms, written_ms);
             real_ms += random.random_range(0..3_000);
             for floor in answer.values() {
-                vms[0].raise(since_of_answer(asked_ms, floor), floor.position, real_ms);
+                let since_ms = floor_since(asked_ms, floor, vms[0].now_ms(real_ms)).unwrap();
+                vms[0].raise(since_ms, floor.position, real_ms);
                 passed_on += 1;
             }
             let arrived_ms = vms[0].now_ms(real_ms);
@@ -454,11 +459,11 @@
     usual = { 9_000, 500, Some(9_498) },
 )]
 fn floors_of_impossible_times_are_refused(echo_ms: u64, offset_ms: i64, expected: Option<u64>) {
-    let floor = EchoedFloor {
+    let floor = OffsetFloor {
         position: Position::new(1, Lsn(7)),
         offset_ms,
     };
-    assert_eq!(since_of_request(echo_ms, &floor, 10_000), expected);
+    assert_eq!(floor_since(echo_ms, &floor, 10_000), expected);
 }
 
 /// Only the newest floors are passed on, and none that is too old to be of use.
@@ -470,8 +475,8 @@
         floors.raise(&format!("s{number}").into(), 10_000 + number, position);
     }
     floors.raise(&"old".into(), 10, Position::new(1, Lsn(1)));
-    let aged = floors.aged(10_200);
-    assert_eq!(aged.len(), 64);
-    assert!(aged.contains_key("s199") && !aged.contains_key("s0") && !aged.contains_key("old"));
+    let sent = floors.for_answer(10_100, 10_200);
+    assert_eq!(sent.len(), 64);
+    assert!(sent.contains_key("s199") && !sent.contains_key("s0") && !sent.contains_key("old"));
     assert!(!floors.raise(&"s5".into(), 10_000, Position::new(2, Lsn(9))));
 }
