Wait for the next path when a VM's way to the members fails

Cause: after a start, the first paths of a VM lead through VMs that start as well.

Change: a member that is reached through another VM counts as out of reach after the second failed path; the second one is tried after 20 ms. One of two subscriptions carries floors.

--- a/src/news/hub.rs
+++ b/src/news/hub.rs
@@ -342,7 +342,10 @@
         Some(NewsAnswer {
             tables: known.collect(),
             written_ms: now_ms,
-            floors: self.floors.borrow().for_answer(arrived_ms, now_ms),
+            floors: match request.wants_floors {
+                true => self.floors.borrow().for_answer(arrived_ms, now_ms),
+                false => BTreeMap::new(),
+            },
         })
     }
 
@@ -366,8 +369,9 @@
         }
     }
 
-    /// The next request of a subscription, after its last answer.
-    pub(super) fn request(&self, last: Option<LastAnswer>) -> NewsRequest {
+    /// The next request of a subscription, after its last answer. One subscription
+    /// gets floors; both followers of a zone hear of all that the zone's VMs raise.
+    pub(super) fn request(&self, subscription: usize, last: Option<LastAnswer>) -> NewsRequest {
         let tables = self.tables.borrow();
         let after = tables.iter();
         let after = after.map(|(name, f)| (name.clone(), f.copy.version()));
@@ -375,6 +379,7 @@
             from: self.vm.clone(),
             after: after.collect(),
             floors: last.map_or_else(Default::default, |last| self.floors.borrow().echoed(last)),
+            wants_floors: subscription == 0,
             wait_ms: WAIT_MS,
         }
     }
--- a/src/news/message.rs
+++ b/src/news/message.rs
@@ -19,6 +19,8 @@
     pub after: BTreeMap<Name, u64>,
     /// Floors that the asking VM raised since the last answer.
     pub floors: EchoedFloors,
+    /// Whether the answer is to contain floors.
+    pub wants_floors: bool,
     /// Longest time to wait for changes, in milliseconds.
     pub wait_ms: u64,
 }
--- a/src/news/subscription.rs
+++ b/src/news/subscription.rs
@@ -79,16 +79,16 @@
                 }
             },
         };
-        match ask(&hub, &mut current).await {
+        match ask(&hub, index, &mut current).await {
             Ok(()) => connected = Some(current),
             Err(error) => hub.record_failure(&source, &error.text),
         }
     }
 }
 
-async fn ask(hub: &Hub, source: &mut Source) -> Result<()> {
+async fn ask(hub: &Hub, index: usize, source: &mut Source) -> Result<()> {
     let asked_ms = clock::boot_ms();
-    let request = hub.request(source.last);
+    let request = hub.request(index, source.last);
     let timeout = Duration::from_millis(request.wait_ms + ANSWER_MARGIN_MS);
     let call = source
         .client
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -257,6 +257,15 @@
         since_ms.is_some_and(|at| now_ms >= at + DISPLACED_MS)
     }
 
+    /// Whether this VM does not reach it: after the first failure on a path through
+    /// another VM, that VM may be the one that failed.
+    pub fn is_out_of_reach(&self) -> bool {
+        match self.prefers_direct() {
+            true => self.failures > 0,
+            false => self.failures > 1,
+        }
+    }
+
     /// Whether it neither answers nor is listed.
     pub fn is_lost(&self, now_ms: u64) -> bool {
         let is_unlisted = self.unlisted_since_ms.is_some();
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -105,7 +105,7 @@
     fn is_cut_off(&self) -> bool {
         let now_ms = clock::boot_ms();
         let counted = self.members.values().filter(|m| !m.is_lost(now_ms));
-        let failing = counted.clone().filter(|m| m.failures > 0);
+        let failing = counted.clone().filter(|m| m.is_out_of_reach());
         is_cut_off(counted.count(), failing.count())
     }
 
--- a/src/relay/service/probe_result.rs
+++ b/src/relay/service/probe_result.rs
@@ -5,8 +5,8 @@
 
 /// Pause between probes of a member that does not answer, in milliseconds.
 const PROBE_RETRY_MS: u64 = 100;
-/// Pause before the next path is tried after a VM refused to forward to a member,
-/// in milliseconds.
+/// Pause before the next path is tried after a VM refused to forward to a member or
+/// failed, in milliseconds.
 const NEXT_PATH_PAUSE_MS: u64 = 20;
 
 impl Service {
@@ -134,7 +134,11 @@
         member.use_next_path();
         member.failures += 1;
         member.silent_since_us.get_or_insert(asked_us);
-        member.next_probe_ms = now_ms + PROBE_RETRY_MS;
+        member.next_probe_ms = now_ms
+            + match member.is_out_of_reach() {
+                true => PROBE_RETRY_MS,
+                false => NEXT_PATH_PAUSE_MS,
+            };
         member.idle.clear();
         self.reroute(id);
         self.count_probe(outcome(error));
