Ask members that do not answer less and less often

Cause: a member that does not answer was probed every 100 ms by every VM, on new connections.

Change: pauses double from 0.1 s to 0.4 s, and to 1.6 s for a member that is leaving or no longer listed; half of a pause is random. A member that is listed again is probed at once.

--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -31,6 +31,18 @@
     max_ms: 400,
 };
 
+/// Pause between probes of a member that does not answer.
+const SILENT_BACKOFF: Backoff = Backoff {
+    base_ms: 100,
+    max_ms: 400,
+};
+/// The same once it has left the member list or is leaving it: it most likely does
+/// not come back, and all VMs ask for it.
+const ABSENT_BACKOFF: Backoff = Backoff {
+    base_ms: 100,
+    max_ms: 1_600,
+};
+
 /// Most requests queued for one member.
 const QUEUE_MAX: usize = 256;
 /// Weight of the newest sample in the mean time of a read.
@@ -216,6 +228,23 @@
         self.next_probe_ms = now_ms + pause_ms;
     }
 
+    /// Records that a probe sent at `asked_us` on the path in use failed, and switches
+    /// to the next path. The first one is tried after `next_path_ms`.
+    pub fn record_failure(&mut self, asked_us: u64, next_path_ms: u64) {
+        let now_ms = clock::boot_ms();
+        self.use_next_path();
+        self.failures += 1;
+        self.silent_since_us.get_or_insert(asked_us);
+        let is_absent = self.entry.is_leaving || self.unlisted_since_ms.is_some();
+        let pause_ms = match (self.is_out_of_reach(), is_absent) {
+            (false, _) => next_path_ms,
+            (true, false) => SILENT_BACKOFF.jittered_ms(self.failures, &mut rand::rng()),
+            (true, true) => ABSENT_BACKOFF.jittered_ms(self.failures, &mut rand::rng()),
+        };
+        self.next_probe_ms = now_ms + pause_ms;
+        self.idle.clear();
+    }
+
     /// Whether it refused to open a connection shortly before.
     pub fn refuses_connections(&self, now_ms: u64) -> bool {
         self.open_refusals > 0 && now_ms < self.open_after_ms
--- a/src/relay/service/members.rs
+++ b/src/relay/service/members.rs
@@ -53,10 +53,12 @@
             member.idle.clear();
             member.report = None;
         }
-        member.unlisted_since_ms = None;
+        let is_back = member.unlisted_since_ms.take().is_some();
         member.set_leaving(entry.is_leaving);
         member.entry = entry;
-        if is_restarted || has_new_role {
+        if is_restarted || has_new_role || is_back {
+            // Whatever pause the failures before have led to is over.
+            member.next_probe_ms = 0;
             self.request_probe(id, clock::boot_us());
         }
     }
--- a/src/relay/service/probe_result.rs
+++ b/src/relay/service/probe_result.rs
@@ -3,8 +3,6 @@
 use super::*;
 use crate::relay::{RelayError, Result, StatusReport, message::ProbeAnswer};
 
-/// Pause between probes of a member that does not answer, in milliseconds.
-const PROBE_RETRY_MS: u64 = 100;
 /// Pause before the next path is tried after a VM refused to forward to a member or
 /// failed, in milliseconds.
 const NEXT_PATH_PAUSE_MS: u64 = 20;
@@ -131,15 +129,7 @@
         if is_wrong_member {
             member.displaced_since_ms.get_or_insert(now_ms);
         }
-        member.use_next_path();
-        member.failures += 1;
-        member.silent_since_us.get_or_insert(asked_us);
-        member.next_probe_ms = now_ms
-            + match member.is_out_of_reach() {
-                true => PROBE_RETRY_MS,
-                false => NEXT_PATH_PAUSE_MS,
-            };
-        member.idle.clear();
+        member.record_failure(asked_us, NEXT_PATH_PAUSE_MS);
         self.reroute(id);
         self.count_probe(outcome(error));
     }
