Ignore answers of the store that are older than the copy

Cause: an answer below the version of the copy made the VM drop its copy and take the older table; members that had left could be in use again. Found on reading.

Change: such an answer is ignored and asked for again. A copy that stays ahead of the store for 15 s, as after false news, is given up and read anew.

Result: older_answers_of_the_store.

--- a/src/decide/table_copy.rs
+++ b/src/decide/table_copy.rs
@@ -73,6 +73,44 @@
     changed: u64,
 }
 
+/// Time for which the store may answer with an older version than a copy before the
+/// copy is given up, in milliseconds: longer than any of its answers is late.
+const STORE_BEHIND_MS: u64 = 15_000;
+
+/// What to do with an answer of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreAnswer {
+    /// It is as new as the copy was when it was asked for.
+    Current,
+    /// It is older. Late or stale answers must not take the copy back.
+    Stale,
+    /// It has been older for so long that the copy must be wrong.
+    Contradicts,
+}
+
+/// Judges answers of the store by their version.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreJudge {
+    behind_since_ms: Option<u64>,
+}
+
+impl StoreJudge {
+    /// Judges an answer of `version` that arrived at `now_ms` and was asked for when
+    /// the copy was complete up to `asked_version`.
+    pub fn judge(&mut self, version: u64, asked_version: u64, now_ms: u64) -> StoreAnswer {
+        if version >= asked_version {
+            self.behind_since_ms = None;
+            return StoreAnswer::Current;
+        }
+        let since_ms = *self.behind_since_ms.get_or_insert(now_ms);
+        if now_ms < since_ms + STORE_BEHIND_MS {
+            return StoreAnswer::Stale;
+        }
+        self.behind_since_ms = None;
+        StoreAnswer::Contradicts
+    }
+}
+
 impl TableCopy {
     /// Version up to which the copy is complete; zero while it is empty.
     pub fn version(&self) -> u64 {
--- a/src/news/hub.rs
+++ b/src/news/hub.rs
@@ -19,7 +19,7 @@
     decide::{
         floor_news::{Floors, LastAnswer, OffsetFloor, floor_since},
         news_sources::{Sources, StoreUse, is_follower, sources, store_use, store_use_at_start},
-        table_copy::{TableCopy, TablePage},
+        table_copy::{StoreAnswer, StoreJudge, TableCopy, TablePage},
     },
     decision_log::decision,
     metrics::{Metrics, label},
@@ -73,6 +73,7 @@
 struct Followed {
     table: FollowedTable,
     copy: TableCopy,
+    judge: StoreJudge,
     /// Time at which the store last confirmed the copy, in milliseconds.
     confirmed_ms: Option<u64>,
 }
@@ -112,6 +113,7 @@
             let followed = Followed {
                 table: table.clone(),
                 copy: TableCopy::default(),
+                judge: StoreJudge::default(),
                 confirmed_ms: None,
             };
             (Name::from(table.name), followed)
@@ -234,7 +236,7 @@
     }
 
     /// Applies a page of the store that was asked for when the copy was complete
-    /// up to `asked_version`. The store is asked again at once, and that call lasts
+    /// up to `asked_version`; returns whether it could be used. The store is asked again at once, and that call lasts
     /// up to `next_ms`: the copy counts as confirmed for this time, unless the call
     /// fails.
     pub(super) fn apply_from_store(
@@ -243,19 +245,29 @@
         page: TablePage,
         asked_version: u64,
         next_ms: u64,
-    ) {
-        if page.version < asked_version {
-            log::error!(
+    ) -> bool {
+        let now_ms = clock::boot_ms();
+        let answer = match self.tables.borrow_mut().get_mut(table) {
+            Some(followed) => followed.judge.judge(page.version, asked_version, now_ms),
+            None => StoreAnswer::Current,
+        };
+        match answer {
+            StoreAnswer::Current => return self.apply(table, page, now_ms + next_ms, "store"),
+            StoreAnswer::Stale => log::warn!(
                 target: "news", table = table, version = asked_version, store = page.version;
-                "the copy is newer than the store; reading the whole table again"
-            );
-            if let Some(followed) = self.tables.borrow_mut().get_mut(table) {
-                followed.copy = TableCopy::default();
+                "older answer of the store ignored"
+            ),
+            StoreAnswer::Contradicts => {
+                log::error!(
+                    target: "news", table = table, version = asked_version, store = page.version;
+                    "the copy is newer than the store; reading the whole table again"
+                );
+                if let Some(followed) = self.tables.borrow_mut().get_mut(table) {
+                    followed.copy = TableCopy::default();
+                }
             }
-            return;
         }
-        let confirmed_ms = clock::boot_ms() + next_ms;
-        self.apply(table, page, confirmed_ms, "store");
+        false
     }
 
     /// Records that the store does not answer calls about a table.
--- a/src/news/mod.rs
+++ b/src/news/mod.rs
@@ -14,4 +14,4 @@
 pub use hub::{FloorListener, FollowedTable, NewsHub, NewsOptions};
 pub use message::{NewsAnswer, NewsRequest, TableNews};
 pub use server::accept;
-pub use store_source::{SourceError, StoreSource};
+pub use store_source::{PendingPage, SourceError, StoreSource};
--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -34,14 +34,17 @@
 /// Result of this module.
 pub type Result<T> = std::result::Result<T, SourceError>;
 
+/// A page that is on its way.
+pub type PendingPage = LocalBoxFuture<'static, Result<TablePage>>;
+
 /// Functions that read the store.
 #[derive(Clone)]
 pub struct StoreSource {
     /// Reads a whole table.
-    pub read: Rc<dyn Fn(&'static str) -> LocalBoxFuture<'static, Result<TablePage>>>,
+    pub read: Rc<dyn Fn(&'static str) -> PendingPage>,
     /// Waits for changes of a table after a version, for at most a number of
     /// milliseconds.
-    pub changes: Rc<dyn Fn(&'static str, u64, u64) -> LocalBoxFuture<'static, Result<TablePage>>>,
+    pub changes: Rc<dyn Fn(&'static str, u64, u64) -> PendingPage>,
 }
 
 /// Follows a table as long as the process runs, while this VM is to.
@@ -73,7 +76,10 @@
                     StoreUse::Follow => wait_ms.unwrap_or(table.read_interval_ms),
                     _ => 0,
                 };
-                hub.apply_from_store(table.name, page, version, next_ms);
+                if !hub.apply_from_store(table.name, page, version, next_ms) {
+                    pause(RETRY.max_ms).await;
+                    continue;
+                }
                 wants_whole = false;
                 if std::mem::take(&mut failures) > 0 {
                     log::info!(target: "dependency", table = table.name; "store available again");
--- a/tests/decide_news.rs
+++ b/tests/decide_news.rs
@@ -10,7 +10,7 @@
         news_sources::{
             Sources, StoreUse, followers, is_follower, sources, store_use, store_use_at_start,
         },
-        table_copy::{PageError, TableCopy, TablePage, TableRow},
+        table_copy::{PageError, StoreAnswer, StoreJudge, TableCopy, TablePage, TableRow},
     },
     lsn::Lsn,
     position::Position,
@@ -114,6 +114,20 @@
     assert_eq!(copy.version(), 5);
 }
 
+/// A stale answer of the store is ignored; a copy that stays ahead of the store for
+/// long, as after false news, is given up.
+#[test]
+fn older_answers_of_the_store() {
+    let mut judge = StoreJudge::default();
+    assert_eq!(judge.judge(7, 7, 0), StoreAnswer::Current);
+    assert_eq!(judge.judge(6, 7, 1_000), StoreAnswer::Stale);
+    assert_eq!(judge.judge(8, 7, 2_000), StoreAnswer::Current);
+    assert_eq!(judge.judge(6, 9, 3_000), StoreAnswer::Stale);
+    assert_eq!(judge.judge(7, 9, 17_900), StoreAnswer::Stale);
+    assert_eq!(judge.judge(8, 9, 18_000), StoreAnswer::Contradicts);
+    assert_eq!(judge.judge(8, 0, 18_100), StoreAnswer::Current);
+}
+
 /// A copy fed by another one's pages, late, twice and in any order, ends up the
 /// same and never shows an older version of a row than before.
 #[test]
@@ -329,11 +343,9 @@
                 StoreUse::Follow if !(is_faulty && cut.contains(vm)) => {
                     confirmed.insert(vm.clone(), now_ms);
                 }
-                StoreUse::Poll { interval_ms } => {
-                    if random.random_range(0..interval_ms) < STEP_MS {
-                        calls += 1;
-                        confirmed.insert(vm.clone(), now_ms);
-                    }
+                StoreUse::Poll { interval_ms } if random.random_range(0..interval_ms) < STEP_MS => {
+                    calls += 1;
+                    confirmed.insert(vm.clone(), now_ms);
                 }
                 _ => {}
             }
