--- /dev/null
+++ b/src/news/copies.rs
@@ -0,0 +1,126 @@
+//! The VM's copies of the tables.
+
+use super::{hub::Hub, options::FollowedTable};
+use crate::{
+    clock,
+    decide::table_copy::{StoreAnswer, StoreJudge, TableCopy, TablePage},
+    metrics::label,
+};
+
+/// A followed table and this VM's copy of it.
+pub(super) struct Followed {
+    pub(super) table: FollowedTable,
+    pub(super) copy: TableCopy,
+    judge: StoreJudge,
+    /// Time at which the store last confirmed the copy, in milliseconds.
+    pub(super) confirmed_ms: Option<u64>,
+}
+
+impl Followed {
+    pub(super) fn new(table: FollowedTable) -> Followed {
+        Followed {
+            table,
+            copy: TableCopy::default(),
+            judge: StoreJudge::default(),
+            confirmed_ms: None,
+        }
+    }
+}
+
+impl Hub {
+    /// Version up to which the copy of a table is complete.
+    pub(super) fn version(&self, table: &str) -> u64 {
+        let tables = self.tables.borrow();
+        tables.get(table).map_or(0, |f| f.copy.version())
+    }
+
+    /// Time since the store last confirmed the copy of a table, in milliseconds.
+    pub(super) fn age_ms(&self, table: &str) -> Option<u64> {
+        let tables = self.tables.borrow();
+        let confirmed_ms = tables.get(table)?.confirmed_ms?;
+        Some(clock::boot_ms().saturating_sub(confirmed_ms))
+    }
+
+    /// Applies a page of the store that was asked for when the copy was complete up to
+    /// `asked_version`; returns whether it could be used.
+    ///
+    /// The store is asked again at once, and that call lasts up to `next_ms`: the copy
+    /// counts as confirmed for this time, unless the call fails.
+    pub(super) fn apply_from_store(
+        &self,
+        table: &str,
+        page: TablePage,
+        asked_version: u64,
+        next_ms: u64,
+    ) -> bool {
+        let now_ms = clock::boot_ms();
+        let answer = match self.tables.borrow_mut().get_mut(table) {
+            Some(followed) => followed.judge.judge(page.version, asked_version, now_ms),
+            None => StoreAnswer::Current,
+        };
+        match answer {
+            StoreAnswer::Current => return self.apply(table, page, now_ms + next_ms, "store"),
+            StoreAnswer::Stale => log::warn!(
+                target: "news", table = table, version = asked_version, store = page.version;
+                "older answer of the store ignored"
+            ),
+            StoreAnswer::Contradicts => {
+                log::error!(
+                    target: "news", table = table, version = asked_version, store = page.version;
+                    "the copy is newer than the store; reading the whole table again"
+                );
+                if let Some(followed) = self.tables.borrow_mut().get_mut(table) {
+                    followed.copy = TableCopy::default();
+                }
+            }
+        }
+        false
+    }
+
+    /// Records that the store does not answer calls about a table.
+    pub(super) fn lost_store(&self, table: &str) {
+        let now_ms = clock::boot_ms();
+        if let Some(followed) = self.tables.borrow_mut().get_mut(table) {
+            followed.confirmed_ms = followed.confirmed_ms.map(|at| at.min(now_ms));
+        }
+    }
+
+    /// Applies a page that the store confirmed at `confirmed_ms`; returns whether it
+    /// could be used.
+    pub(super) fn apply(
+        &self,
+        name: &str,
+        page: TablePage,
+        confirmed_ms: u64,
+        source: &str,
+    ) -> bool {
+        let mut tables = self.tables.borrow_mut();
+        let Some(followed) = tables.get_mut(name) else {
+            log::warn!(target: "news", table = name, source = source; "news of an unknown table");
+            return false;
+        };
+        let has_changed = match followed.copy.apply(page) {
+            Ok(has_changed) => has_changed,
+            Err(error) => {
+                log::warn!(
+                    target: "news", table = name, source = source, reason = error.to_string();
+                    "news refused"
+                );
+                return false;
+            }
+        };
+        let is_first = followed.confirmed_ms.is_none();
+        followed.confirmed_ms = followed.confirmed_ms.max(Some(confirmed_ms));
+        let labels = [label("table", followed.table.name)];
+        let age_ms = clock::boot_ms().saturating_sub(confirmed_ms);
+        self.metrics.news_age_ms.record(age_ms as f64, &labels);
+        if has_changed || is_first {
+            let on_change = followed.table.on_change.clone();
+            let copy = followed.copy.clone();
+            drop(tables);
+            on_change(&copy);
+            self.changed.send_modify(|changes| *changes += 1);
+        }
+        true
+    }
+}
--- a/src/news/mod.rs
+++ b/src/news/mod.rs
@@ -5,13 +5,17 @@
 //! [`decide::news_sources`](crate::decide::news_sources) and
 //! [`decide::table_copy`](crate::decide::table_copy).
 
+mod copies;
+mod exchange;
 mod hub;
 mod message;
+mod options;
 mod server;
 mod store_source;
 mod subscription;
 
-pub use hub::{FloorListener, FollowedTable, NewsHub, NewsOptions};
+pub use hub::NewsHub;
 pub use message::{NewsAnswer, NewsRequest, TableNews};
+pub use options::{FloorListener, FollowedTable, NewsOptions};
 pub use server::accept;
 pub use store_source::{PendingPage, SourceError, StoreSource};
--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -5,7 +5,7 @@
 use futures::future::LocalBoxFuture;
 use rand::Rng;
 
-use super::hub::{FollowedTable, Hub};
+use super::{hub::Hub, options::FollowedTable};
 use crate::{
     decide::{news_sources::StoreUse, retry::Backoff, table_copy::TablePage},
     prelude::*,
