Let a VM that has just started promote nobody on its own knowledge

A VM that has just started reads the members that are listed now. It does not know of those that left the list a moment before and may come back with commits that the listed ones lack; a VM that runs for longer waits 12 s for them.

Change: unless the system starts for the first time, a VM counts all members as answered only after those 12 s. Until then it replaces a primary that steps down, and leaves one that does not answer to VMs that run for longer; its attempts start 0.4 s later. After a restart of all VMs a primary that does not answer is replaced once they have run for 12 s.

--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -60,11 +60,12 @@
 ///   itself. If all the others answered, the most advanced of them is chosen,
 ///   because a commit that none of them received was never acknowledged.
 /// - If the primary did not answer, all the others must have answered or be
-///   gone.
-pub fn choose(candidates: &[Candidate]) -> Choice {
+///   gone. That takes a VM that has known the group for so long that it would know of
+///   a member that left the list and may come back (`knows_departed`).
+pub fn choose(candidates: &[Candidate], knows_departed: bool) -> Choice {
     let others = || candidates.iter().filter(|c| !c.is_primary);
     let answered = || others().filter(|c| c.fenced.is_some());
-    let all_answered = others().all(|c| c.fenced.is_some() || c.is_gone);
+    let all_answered = knows_departed && others().all(|c| c.fenced.is_some() || c.is_gone);
     let primary = candidates.iter().find(|c| c.is_primary);
     let primary_fenced = primary.and_then(|p| p.fenced);
     let best = answered().max_by_key(|c| (c.fenced.map(received), !c.is_leaving));
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -61,7 +61,7 @@
 /// Time after which a member that is missing from the list counts as permanently
 /// gone, in milliseconds: longer than a failed member may take to come back with
 /// its log.
-const GONE_MS: u64 = 12_000;
+pub const GONE_MS: u64 = 12_000;
 
 /// Most connections to a VM that forwards to a member: more than the member's
 /// window admits at once.
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -62,6 +62,8 @@
     pub codecs: Codecs,
     /// Grants claims and promotes members.
     pub authority: Authority,
+    /// Whether the whole system starts for the first time: no member has left yet.
+    pub is_first_start: bool,
     /// Is told of each floor that this VM raises, so that other VMs can use it.
     pub on_floor: FloorListener,
     /// Longest time of a graceful shutdown, in milliseconds.
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -7,6 +7,7 @@
     decide::takeover::{PrimaryHealth, TakeoverSettings, replacement_reason},
     relay::{
         StatusReport,
+        member::GONE_MS,
         takeover::{self, GroupMember, TakeoverPlan},
     },
 };
@@ -24,6 +25,9 @@
 /// Longest random delay before an attempt, in milliseconds, so that VMs do not
 /// start at the same time.
 const START_JITTER_MS: u64 = 150;
+/// Added to this delay on a VM that started so recently that it may not know all
+/// members that can come back, in milliseconds: other VMs go first.
+const START_DELAY_MS: u64 = 400;
 /// Pause after an attempt, in milliseconds.
 const COOLDOWN_MS: u64 = 800;
 /// Time after which a member that is missing from the list is removed, in
@@ -118,7 +122,10 @@
                 self.takeover = Takeover::Idle;
             }
             (Takeover::Idle, Some(reason)) => {
-                let delay_ms = rand::rng().random_range(0..START_JITTER_MS);
+                let mut delay_ms = rand::rng().random_range(0..START_JITTER_MS);
+                if !self.knows_departed(now_ms) {
+                    delay_ms += START_DELAY_MS;
+                }
                 self.takeover = Takeover::Scheduled {
                     reason,
                     start_ms: now_ms + delay_ms,
@@ -156,6 +163,12 @@
         }
     }
 
+    /// Whether a member that left the list and may come back would be known here: this
+    /// VM has seen the list for long enough, or the group is as young as the VM.
+    fn knows_departed(&self, now_ms: u64) -> bool {
+        self.context.options.is_first_start || now_ms >= self.started_ms + GONE_MS
+    }
+
     /// The group's members, as input for a takeover.
     pub(super) fn group_members(&self) -> Vec<GroupMember> {
         let now_ms = clock::boot_ms();
@@ -189,6 +202,7 @@
             context: self.context.clone(),
             members: self.group_members(),
             term: highest.unwrap_or(0) + 1,
+            knows_departed: self.knows_departed(clock::boot_ms()),
             reason,
         };
         self.takeover = Takeover::Running;
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -68,6 +68,8 @@
     pub members: Vec<GroupMember>,
     /// Term that the members are fenced for.
     pub term: u64,
+    /// Whether this VM knows of members that left the list and may come back.
+    pub knows_departed: bool,
     /// Why the primary is replaced.
     pub reason: Reason,
 }
@@ -124,7 +126,7 @@
         }
         round += 1;
         let candidates = candidates(plan, &fenced, &refused);
-        let choice = choose(&candidates);
+        let choice = choose(&candidates, plan.knows_departed);
         decision!(
             "takeover", service = &*plan.context.service, fence = claim.fence,
             term = plan.term, round = round, choice = format!("{choice:?}"),
--- a/tests/decide_relay.rs
+++ b/tests/decide_relay.rs
@@ -274,7 +274,23 @@
     no_primary_is_known = { vec![other_member("a", fenced(5)), other_member("b", fenced(9))], promote("b") },
 )]
 fn successor(candidates: Vec<Candidate>, expected: Choice) {
-    assert_eq!(choose(&candidates), expected);
+    assert_eq!(choose(&candidates, true), expected);
+}
+
+/// A VM that may not know all members that can come back relies on the primary's
+/// answer: without it, nobody is promoted.
+#[parameterized(
+    silent_primary = {
+        vec![primary(None), other_member("a", fenced(5)), other_member("b", fenced(9))], UNSAFE },
+    no_primary_is_known = { vec![other_member("a", fenced(5)), other_member("b", fenced(9))], UNSAFE },
+    only_one_is_listed = { vec![other_member("a", fenced(5))], UNSAFE },
+    stepped_down = {
+        vec![primary(fenced(9)), other_member("a", fenced(9)), other_member("b", fenced(5))], promote("a") },
+    stepped_down_and_replicas_are_behind = {
+        vec![primary(fenced(9)), other_member("a", fenced(5)), other_member("b", fenced(7))], promote("primary") },
+)]
+fn successor_by_a_vm_that_has_just_started(candidates: Vec<Candidate>, expected: Choice) {
+    assert_eq!(choose(&candidates, false), expected);
 }
 
 const SETTINGS: TakeoverSettings = TakeoverSettings {
