--- a/standin/src/load/caller.rs
+++ b/standin/src/load/caller.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage, error::Severity};
 
 use crate::history::WriteOutcome;
 
@@ -123,7 +123,7 @@
                     let end = self.connection_error.as_ref().and_then(|error| error.get());
                     failed.message += &end.map_or(", no end".into(), |end| format!(", {end}"));
                 }
-                if client.is_closed() {
+                if client.is_closed() || ends_session(&error) {
                     self.client = None;
                 }
                 return Err(failed);
@@ -232,6 +232,13 @@
     }
 }
 
+/// Whether the server ends the session with this error. The driver may learn of the
+/// connection's end later, and would send the next statement in vain.
+fn ends_session(error: &tokio_postgres::Error) -> bool {
+    let severity = error.as_db_error().and_then(|db| db.parsed_severity());
+    matches!(severity, Some(Severity::Fatal | Severity::Panic))
+}
+
 fn not_connected(text: &str) -> RequestError {
     RequestError {
         code: "connect".into(),
