--- a/src/news/hub.rs
+++ b/src/news/hub.rs
@@ -149,9 +149,7 @@
 
     /// Time since the store last confirmed the copy of a table, in milliseconds.
     pub fn age_ms(&self, table: &str) -> Option<u64> {
-        let tables = self.0.tables.borrow();
-        let confirmed_ms = tables.get(table)?.confirmed_ms?;
-        Some(clock::boot_ms().saturating_sub(confirmed_ms))
+        self.0.age_ms(table)
     }
 }
 
--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -17,6 +17,7 @@
     base_ms: 300,
     max_ms: 1_200,
 };
+
 /// Reason why the store gave no page.
 #[derive(Clone, Debug, derive_more::Display, derive_more::Error)]
 pub enum SourceError {
