Log from whom a copy of a table was changed

Change: one line for each change of a copy, with its version, its source and the age of the news, bounded like every decision.

--- a/src/news/copies.rs
+++ b/src/news/copies.rs
@@ -4,6 +4,7 @@
 use crate::{
     clock,
     decide::table_copy::{StoreAnswer, StoreJudge, TableCopy, TablePage},
+    decision_log::decision,
     metrics::label,
 };
 
@@ -115,6 +116,10 @@
         let age_ms = clock::boot_ms().saturating_sub(confirmed_ms);
         self.metrics.news_age_ms.record(age_ms as f64, &labels);
         if has_changed || is_first {
+            decision!(
+                "news", table = name, version = followed.copy.version(), source = source,
+                age_ms = age_ms; "copy changed"
+            );
             let on_change = followed.table.on_change.clone();
             let copy = followed.copy.clone();
             drop(tables);
