Read the store in time while all sources of news are deaf

Cause: a follower counts its copy as confirmed until the end of the call under way, up to 3.4 s; its subscribers doubted it only 3.5 s after that and then polled the store every 2 s (100 VMs): 9 s in the worst case, whatever config_apply_ms says (4, 6 or 8 s). The same holds for members that leave: 5.4 s + 3.5 s against a drain time of 7 s.

A VM counts as without a source after 2.1 s, two hops of news. Polls are spread over an eighth of the bound; only while the store does not answer they are spread by load as before. The first call after a failure does not wait, so that a follower knows at once that the store is back.

--- a/src/decide/news_sources.rs
+++ b/src/decide/news_sources.rs
@@ -29,13 +29,17 @@
 /// which on the source counts as failed, in milliseconds: more than two waits for
 /// changes.
 const STALE_MARGIN_MS: u64 = 4_000;
-/// Store calls a second that all VMs without a source may make together.
+/// Store calls a second that all VMs without a source may make together while the
+/// store does not answer.
 const FALLBACK_CALLS_PER_S: u64 = 50;
-/// Shortest interval between two such calls of one VM, in milliseconds.
+/// Shortest interval between two calls of a VM without a source, in milliseconds.
 const FALLBACK_INTERVAL_MIN_MS: u64 = 500;
-/// Age of its news from which on a VM counts as without a source, in
-/// milliseconds: the length of a failed call to each of two sources.
-const FALLBACK_AGE_MS: u64 = 3_500;
+/// Age of its news from which on a VM counts as without a source, in milliseconds:
+/// news passes two other VMs, each of which waits for changes, or is late because
+/// a call to one source failed.
+const FALLBACK_AGE_MS: u64 = 2_100;
+/// Shortest wait of one call for changes, in milliseconds.
+const WAIT_MIN_MS: u64 = 500;
 
 /// Longest time for which a VM waits for the list of VMs before it follows the
 /// store, in milliseconds.
@@ -58,6 +62,28 @@
     },
 }
 
+/// Times of the calls about a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// Longest wait of one call for changes, in milliseconds.
+    pub wait_ms: u64,
+    /// Longest interval at which a VM without a source reads the table while the
+    /// store answers it, in milliseconds.
+    pub poll_ms: u64,
+}
+
+/// Times with which changes reach every VM to which the store answers within
+/// `bound_ms`, also while its sources hear nothing and do not notice it until their
+/// calls of at most `wait_max_ms` end. An eighth of the bound is left for the calls.
+pub fn pace(bound_ms: u64, wait_max_ms: u64) -> Pace {
+    let poll_ms = (bound_ms / 8).max(FALLBACK_INTERVAL_MIN_MS);
+    let wait_ms = (bound_ms - bound_ms / 4).saturating_sub(FALLBACK_AGE_MS);
+    Pace {
+        wait_ms: wait_ms.min(wait_max_ms).max(WAIT_MIN_MS),
+        poll_ms,
+    }
+}
+
 /// The VMs of a zone that follow the store.
 pub fn followers(zone: &Name, vms: &BTreeMap<Name, VmPlace>) -> Vec<Name> {
     let here: Vec<(&Name, &VmPlace)> = vms.iter().filter(|(_, vm)| vm.zone == *zone).collect();
@@ -101,8 +127,9 @@
 }
 
 /// How a VM that is or is not a follower uses the store, while `vms` VMs run and
-/// its own news is `age_ms` old.
-pub fn store_use(is_follower: bool, vms: usize, age_ms: u64) -> StoreUse {
+/// its own news is `age_ms` old. While the store answers, it is read at intervals of
+/// at most `poll_ms`.
+pub fn store_use(is_follower: bool, vms: usize, age_ms: u64, poll_ms: Option<u64>) -> StoreUse {
     if is_follower {
         return StoreUse::Follow;
     }
@@ -110,9 +137,9 @@
         let for_ms = FALLBACK_AGE_MS - age_ms;
         return StoreUse::Leave { for_ms };
     }
-    let interval_ms = vms as u64 * 1_000 / FALLBACK_CALLS_PER_S;
+    let interval_ms = (vms as u64 * 1_000 / FALLBACK_CALLS_PER_S).max(FALLBACK_INTERVAL_MIN_MS);
     StoreUse::Poll {
-        interval_ms: interval_ms.max(FALLBACK_INTERVAL_MIN_MS),
+        interval_ms: interval_ms.min(poll_ms.unwrap_or(u64::MAX)),
     }
 }
 
--- a/src/news/hub.rs
+++ b/src/news/hub.rs
@@ -11,7 +11,7 @@
 
 use super::{
     copies::Followed,
-    options::{FloorListener, NewsOptions},
+    options::{FloorListener, FollowedTable, NewsOptions},
     store_source::{self, StoreSource},
     subscription,
 };
@@ -154,18 +154,19 @@
 }
 
 impl Hub {
-    /// How this VM uses the store for a table now.
-    pub(super) fn store_use(&self, table: &str) -> StoreUse {
+    /// How this VM uses the store for a table now, after some failed calls about it.
+    pub(super) fn store_use(&self, table: &FollowedTable, failures: u32) -> StoreUse {
         let now_ms = clock::boot_ms();
         let tables = self.tables.borrow();
-        let confirmed_ms = tables.get(table).and_then(|f| f.confirmed_ms);
+        let confirmed_ms = tables.get(table.name).and_then(|f| f.confirmed_ms);
         let Some(vms) = &*self.vms.borrow() else {
             let running_ms = now_ms.saturating_sub(self.started_ms);
             return store_use_at_start(self.is_first_start, confirmed_ms.is_some(), running_ms);
         };
         let since_ms = confirmed_ms.unwrap_or(0).max(self.role_since_ms.get());
         let age_ms = now_ms.saturating_sub(since_ms);
-        store_use(self.is_follower.get(), vms.places.len(), age_ms)
+        let poll_ms = (failures == 0).then_some(table.poll_ms);
+        store_use(self.is_follower.get(), vms.places.len(), age_ms, poll_ms)
     }
 
     /// Waits for a change of the list of VMs, for at most `limit_ms`.
--- a/src/news/options.rs
+++ b/src/news/options.rs
@@ -15,6 +15,9 @@
     pub wait_ms: Option<u64>,
     /// Longest interval at which such a table is read, in milliseconds.
     pub read_interval_ms: u64,
+    /// Longest interval at which a VM without a source reads the table while the
+    /// store answers, in milliseconds.
+    pub poll_ms: u64,
     /// Called with the copy after each change.
     pub on_change: Rc<dyn Fn(&TableCopy)>,
 }
--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -53,7 +53,7 @@
     let mut failures = 0;
     let mut wants_whole = true;
     loop {
-        let store_use = hub.store_use(table.name);
+        let store_use = hub.store_use(&table, failures);
         match store_use {
             StoreUse::Leave { for_ms } => {
                 hub.await_vms(for_ms).await;
@@ -61,14 +61,15 @@
             }
             StoreUse::Poll { interval_ms } => {
                 pause(interval_ms).await;
-                if !matches!(hub.store_use(table.name), StoreUse::Poll { .. }) {
+                if !matches!(hub.store_use(&table, failures), StoreUse::Poll { .. }) {
                     continue;
                 }
             }
             StoreUse::Follow => {}
         }
+        // After a failure, the answer tells at once that the store is back.
         let wait_ms = match store_use {
-            StoreUse::Follow => table.wait_ms,
+            StoreUse::Follow if failures == 0 => table.wait_ms,
             _ => table.wait_ms.and(Some(0)),
         };
         match step(&hub, table.name, wait_ms, wants_whole).await {
