Order what VMs believe of the store by era and version

Cause: copies, answers and news were ordered by the store's version alone. An answer of the restored store was taken for a late one and ignored; once its versions had caught up, rows written in between were missing for good. Ruled out: followers that know and are not believed (none knew), and a running VM that goes back to the restored configuration (none did).

An answer of an older era is late; a whole table of a newer era replaces a copy, changes of a newer era lead to reading the whole table. Messages between VMs keep their fields; an era that is not named is zero. Each change of era is one log line and counts in foxtailknot_era_changes_total.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -18,6 +18,7 @@
 pub mod news_sources;
 pub mod placement;
 pub mod retry;
+pub mod revision;
 pub mod rollout;
 pub mod route;
 pub mod table_copy;
--- a/src/decide/table_copy.rs
+++ b/src/decide/table_copy.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::revision::Revision;
 use crate::prelude::*;
 
 /// Most deleted rows that a copy remembers. A VM that lacks older ones gets the
@@ -19,7 +20,8 @@
     pub key: Name,
     /// Content, in the encoding of the store.
     pub value: Name,
-    /// Version: number of the transaction that wrote or deleted the row.
+    /// Version: number of the transaction that wrote or deleted the row, in the era
+    /// of its page or copy.
     pub version: u64,
     /// Whether the row was deleted.
     pub is_removed: bool,
@@ -30,8 +32,9 @@
 pub struct TablePage {
     /// Version after which the changes are given; `None` for the whole table.
     pub after: Option<u64>,
-    /// Version up to which they are complete.
-    pub version: u64,
+    /// Revision up to which they are complete.
+    #[serde(flatten)]
+    pub revision: Revision,
     /// The rows.
     pub rows: Vec<TableRow>,
 }
@@ -47,6 +50,14 @@
         /// Version up to which the copy is complete.
         version: u64,
     },
+    /// The page was made before the store came back from a copy.
+    #[display("page of era {era}, but the copy is of era {known_era}")]
+    OlderEra {
+        /// Era of the page.
+        era: u64,
+        /// Era of the copy.
+        known_era: u64,
+    },
     /// The page is complete up to an older version than it starts from.
     #[display("changes from version {after} to the older version {version}")]
     Inverted {
@@ -63,7 +74,7 @@
 /// A copy of a table.
 #[derive(Clone, Debug, Default)]
 pub struct TableCopy {
-    version: u64,
+    revision: Revision,
     rows: BTreeMap<Name, TableRow>,
     /// Versions of remembered deletions, with their keys.
     removed: BTreeSet<(u64, Name)>,
@@ -95,10 +106,10 @@
 }
 
 impl StoreJudge {
-    /// Judges an answer of `version` that arrived at `now_ms` and was asked for when
-    /// the copy was complete up to `asked_version`.
-    pub fn judge(&mut self, version: u64, asked_version: u64, now_ms: u64) -> StoreAnswer {
-        if version >= asked_version {
+    /// Judges an answer of `revision` that arrived at `now_ms` and was asked for when
+    /// the copy was complete up to `asked`.
+    pub fn judge(&mut self, revision: Revision, asked: Revision, now_ms: u64) -> StoreAnswer {
+        if revision >= asked {
             self.behind_since_ms = None;
             return StoreAnswer::Current;
         }
@@ -112,14 +123,17 @@
 }
 
 impl TableCopy {
-    /// Version up to which the copy is complete; zero while it is empty.
-    pub fn version(&self) -> u64 {
-        self.version
+    /// Revision up to which the copy is complete; its version is zero while it is empty.
+    pub fn revision(&self) -> Revision {
+        self.revision
     }
 
-    /// Whether it holds changes that a copy which is complete up to `version` lacks.
-    pub fn has_changes_after(&self, version: u64) -> bool {
-        self.version > version && self.changed > version
+    /// Whether it holds changes that a copy which is complete up to `revision` lacks.
+    pub fn has_changes_after(&self, revision: Revision) -> bool {
+        match self.revision.era == revision.era {
+            true => self.revision > revision && self.changed > revision.version,
+            false => self.revision > revision,
+        }
     }
 
     /// The rows that exist.
@@ -136,16 +150,27 @@
     pub fn apply(&mut self, page: TablePage) -> Result<bool> {
         let TablePage {
             after,
-            version,
+            revision: Revision { era, version },
             rows,
         } = page;
+        let known_era = self.revision.era;
+        if era < known_era {
+            return Err(PageError::OlderEra { era, known_era });
+        }
+        if era > known_era && after.is_none() {
+            // Nothing is known of the versions and deletions of the new era.
+            *self = TableCopy {
+                revision: Revision::new(era, 0),
+                ..TableCopy::default()
+            };
+        }
         match after {
             Some(after) if version < after => return Err(PageError::Inverted { after, version }),
-            Some(after) if after > self.version => {
-                let version = self.version;
+            Some(after) if era > known_era || after > self.revision.version => {
+                let version = self.revision.version;
                 return Err(PageError::Gap { after, version });
             }
-            None if version < self.version => return Ok(false),
+            None if version < self.revision.version => return Ok(false),
             _ => {}
         }
         let missing: Vec<Name> = match after {
@@ -154,8 +179,8 @@
         };
         // The copy knows all changes up to its version, deletions included: an
         // older row must not return.
-        let known_version = self.version;
-        let mut has_changed = false;
+        let known_version = self.revision.version;
+        let mut has_changed = era > known_era;
         for row in rows {
             if row.version > known_version {
                 has_changed |= self.put(row);
@@ -175,23 +200,23 @@
             // Deletions before a whole table are not known one by one.
             self.history_from = self.history_from.max(known_version);
         }
-        self.version = self.version.max(version);
+        self.revision.version = self.revision.version.max(version);
         self.forget_old_removals();
         Ok(has_changed)
     }
 
-    /// Changes after `version`, or the whole table if not all deletions since
-    /// then are remembered.
-    pub fn page_after(&self, version: u64) -> TablePage {
-        let is_whole = version == 0 || version < self.history_from;
+    /// Changes after a revision, or the whole table if it is of another era or not all
+    /// deletions since then are remembered.
+    pub fn page_after(&self, Revision { era, version }: Revision) -> TablePage {
+        let is_whole = era != self.revision.era || version == 0 || version < self.history_from;
         let rows = self.rows.values();
         let rows = match is_whole {
             true => rows.filter(|row| !row.is_removed).cloned().collect(),
             false => rows.filter(|row| row.version > version).cloned().collect(),
         };
         TablePage {
-            after: (!is_whole).then_some(version.min(self.version)),
-            version: self.version,
+            after: (!is_whole).then_some(version.min(self.revision.version)),
+            revision: self.revision,
             rows,
         }
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc};
 
+use axum::http::HeaderMap;
 use cyper::RequestBuilder;
 
 use crate::prelude::*;
@@ -11,6 +12,8 @@
 pub struct HttpResponse {
     /// HTTP status code.
     pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: bytes::Bytes,
 }
@@ -76,8 +79,13 @@
         let call = async {
             let response = request.send().await?;
             let status = response.status().as_u16();
+            let headers = response.headers().clone();
             let body = response.bytes().await?;
-            Ok(HttpResponse { status, body })
+            Ok(HttpResponse {
+                status,
+                headers,
+                body,
+            })
         };
         match compio::time::timeout(timeout, call).await {
             Ok(result) => result,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -59,6 +59,8 @@
     pub floor_age_ms: Histogram<f64>,
     /// Answers of VMs that were asked for news of the store, by outcome.
     pub news_answers: Counter<u64>,
+    /// Times that the store came back from an older copy.
+    pub era_changes: Counter<u64>,
     /// Age of the VM's news by table when more arrives, in milliseconds.
     pub news_age_ms: Histogram<f64>,
     /// Bytes transferred in calls between VMs, by direction.
@@ -104,6 +106,7 @@
             floor_timeouts: counter("foxtailknot_floor_timeouts"),
             floor_age_ms: meter.f64_histogram("foxtailknot_floor_age_ms").build(),
             news_answers: counter("foxtailknot_news_answers"),
+            era_changes: counter("foxtailknot_era_changes"),
             news_age_ms: meter.f64_histogram("foxtailknot_news_age_ms").build(),
             peer_bytes: counter("foxtailknot_peer_bytes"),
             _provider: provider,
--- a/src/news/copies.rs
+++ b/src/news/copies.rs
@@ -3,7 +3,10 @@
 use super::{hub::Hub, options::FollowedTable};
 use crate::{
     clock,
-    decide::table_copy::{StoreAnswer, StoreJudge, TableCopy, TablePage},
+    decide::{
+        revision::Revision,
+        table_copy::{StoreAnswer, StoreJudge, TableCopy, TablePage},
+    },
     decision_log::decision,
     metrics::label,
 };
@@ -29,10 +32,11 @@
 }
 
 impl Hub {
-    /// Version up to which the copy of a table is complete.
-    pub(super) fn version(&self, table: &str) -> u64 {
+    /// Revision up to which the copy of a table is complete.
+    pub(super) fn revision(&self, table: &str) -> Revision {
         let tables = self.tables.borrow();
-        tables.get(table).map_or(0, |f| f.copy.version())
+        let followed = tables.get(table);
+        followed.map_or_else(Revision::default, |f| f.copy.revision())
     }
 
     /// Time since the store last confirmed the copy of a table, in milliseconds.
@@ -43,7 +47,7 @@
     }
 
     /// Applies a page of the store that was asked for when the copy was complete up to
-    /// `asked_version`; returns whether it could be used.
+    /// `asked`; returns whether it could be used.
     ///
     /// The store is asked again at once, and that call lasts up to `next_ms`: the copy
     /// counts as confirmed for this time, unless the call fails.
@@ -51,23 +55,24 @@
         &self,
         table: &str,
         page: TablePage,
-        asked_version: u64,
+        asked: Revision,
         next_ms: u64,
     ) -> bool {
         let now_ms = clock::boot_ms();
         let answer = match self.tables.borrow_mut().get_mut(table) {
-            Some(followed) => followed.judge.judge(page.version, asked_version, now_ms),
+            Some(followed) => followed.judge.judge(page.revision, asked, now_ms),
             None => StoreAnswer::Current,
         };
         match answer {
             StoreAnswer::Current => return self.apply(table, page, now_ms + next_ms, "store"),
             StoreAnswer::Stale => log::warn!(
-                target: "news", table = table, version = asked_version, store = page.version;
-                "older answer of the store ignored"
+                target: "news", table = table, revision = asked.to_string(),
+                store = page.revision.to_string(); "older answer of the store ignored"
             ),
             StoreAnswer::Contradicts => {
                 log::error!(
-                    target: "news", table = table, version = asked_version, store = page.version;
+                    target: "news", table = table, revision = asked.to_string(),
+                    store = page.revision.to_string();
                     "the copy is newer than the store; reading the whole table again"
                 );
                 if let Some(followed) = self.tables.borrow_mut().get_mut(table) {
@@ -86,6 +91,24 @@
         }
     }
 
+    /// Records the era of a page. A new one means that the store came back from an
+    /// older copy.
+    fn record_era(&self, era: u64) {
+        let before = *self.era.borrow();
+        if before.is_some_and(|before| era <= before) {
+            return;
+        }
+        if let Some(before) = before {
+            log::warn!(
+                target: "news", era = era, before = before;
+                "the store came back from an older copy"
+            );
+            self.metrics.era_changes.add(1, &[]);
+        }
+        self.era
+            .send_if_modified(|known| known.replace(era).is_some());
+    }
+
     /// Applies a page that the store confirmed at `confirmed_ms`; returns whether it
     /// could be used.
     pub(super) fn apply(
@@ -110,6 +133,7 @@
                 return false;
             }
         };
+        self.record_era(followed.copy.revision().era);
         let is_first = followed.confirmed_ms.is_none();
         followed.confirmed_ms = followed.confirmed_ms.max(Some(confirmed_ms));
         let labels = [label("table", followed.table.name)];
@@ -117,8 +141,8 @@
         self.metrics.news_age_ms.record(age_ms as f64, &labels);
         if has_changed || is_first {
             decision!(
-                "news", table = name, version = followed.copy.version(), source = source,
-                age_ms = age_ms; "copy changed"
+                "news", table = name, revision = followed.copy.revision().to_string(),
+                source = source, age_ms = age_ms; "copy changed"
             );
             let on_change = followed.table.on_change.clone();
             let copy = followed.copy.clone();
--- a/src/news/exchange.rs
+++ b/src/news/exchange.rs
@@ -21,10 +21,9 @@
     /// Whether this VM has news for a request.
     pub(super) fn has_news(&self, request: &NewsRequest) -> bool {
         let tables = self.tables.borrow();
-        tables.iter().any(|(name, followed)| {
-            let after = request.after.get(name).copied().unwrap_or(0);
-            followed.copy.has_changes_after(after)
-        })
+        tables
+            .iter()
+            .any(|(name, followed)| followed.copy.has_changes_after(request.revision(name)))
     }
 
     /// Waits until there is news for a request, or its wait is over; `None` once
@@ -54,8 +53,7 @@
         let tables = self.tables.borrow();
         let known = tables.iter().filter_map(|(name, followed)| {
             let age_ms = now_ms.saturating_sub(followed.confirmed_ms?);
-            let after = request.after.get(name).copied().unwrap_or(0);
-            let page = followed.copy.page_after(after);
+            let page = followed.copy.page_after(request.revision(name));
             Some((name.clone(), TableNews { page, age_ms }))
         });
         Some(NewsAnswer {
@@ -92,11 +90,15 @@
     /// gets floors; both followers of a zone hear of all that the zone's VMs raise.
     pub(super) fn request(&self, subscription: usize, last: Option<LastAnswer>) -> NewsRequest {
         let tables = self.tables.borrow();
-        let after = tables.iter();
-        let after = after.map(|(name, f)| (name.clone(), f.copy.version()));
+        let revisions = tables.iter();
+        let revisions = revisions.map(|(name, f)| (name, f.copy.revision()));
         NewsRequest {
             from: self.vm.clone(),
-            after: after.collect(),
+            after: revisions
+                .clone()
+                .map(|(name, r)| (name.clone(), r.version))
+                .collect(),
+            eras: revisions.map(|(name, r)| (name.clone(), r.era)).collect(),
             floors: last.map_or_else(Default::default, |last| self.floors.borrow().echoed(last)),
             wants_floors: subscription == 0,
             wait_ms: WAIT_MS,
--- a/src/news/hub.rs
+++ b/src/news/hub.rs
@@ -47,6 +47,8 @@
     is_follower: Cell<bool>,
     pub(super) is_resigned: Cell<bool>,
     pub(super) choice: RefCell<Sources>,
+    /// Newest era of the store that this VM has heard of.
+    pub(super) era: watch::Sender<Option<u64>>,
     /// Number of changes of the copies.
     pub(super) changed: watch::Sender<u64>,
     /// Number of changes of the list of VMs.
@@ -80,6 +82,7 @@
             is_follower: Cell::new(false),
             is_resigned: Cell::new(false),
             choice: RefCell::new(Sources::new(SUBSCRIPTIONS)),
+            era: watch::channel(None).0,
             changed: watch::channel(0).0,
             vms_changed: watch::channel(0).0,
             tasks: RefCell::default(),
@@ -143,8 +146,13 @@
 
     /// Takes a whole table that was read from the store otherwise.
     pub fn apply(&self, table: &str, page: TablePage) {
-        let version = self.0.version(table);
-        self.0.apply_from_store(table, page, version, 0);
+        let revision = self.0.revision(table);
+        self.0.apply_from_store(table, page, revision, 0);
+    }
+
+    /// Tells each change of the store's era.
+    pub fn eras(&self) -> watch::Receiver<Option<u64>> {
+        self.0.era.subscribe()
     }
 
     /// Time since the store last confirmed the copy of a table, in milliseconds.
--- a/src/news/message.rs
+++ b/src/news/message.rs
@@ -5,6 +5,7 @@
 use crate::{
     decide::{
         floor_news::{EchoedFloors, OffsetFloor},
+        revision::Revision,
         table_copy::TablePage,
     },
     prelude::*,
@@ -17,6 +18,9 @@
     pub from: Name,
     /// Version up to which the asking VM's copy of each table is complete.
     pub after: BTreeMap<Name, u64>,
+    /// Eras of these versions; missing in requests of older builds.
+    #[serde(default)]
+    pub eras: BTreeMap<Name, u64>,
     /// Floors that the asking VM raised since the last answer.
     pub floors: EchoedFloors,
     /// Whether the answer is to contain floors.
@@ -25,6 +29,14 @@
     pub wait_ms: u64,
 }
 
+impl NewsRequest {
+    /// Revision up to which the asking VM's copy of a table is complete.
+    pub fn revision(&self, table: &Name) -> Revision {
+        let number = |numbers: &BTreeMap<Name, u64>| numbers.get(table).copied().unwrap_or(0);
+        Revision::new(number(&self.eras), number(&self.after))
+    }
+}
+
 /// News of one table.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TableNews {
--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -7,7 +7,7 @@
 
 use super::{hub::Hub, options::FollowedTable};
 use crate::{
-    decide::{news_sources::StoreUse, retry::Backoff, table_copy::TablePage},
+    decide::{news_sources::StoreUse, retry::Backoff, revision::Revision, table_copy::TablePage},
     prelude::*,
 };
 
@@ -21,8 +21,9 @@
 /// Reason why the store gave no page.
 #[derive(Clone, Debug, derive_more::Display, derive_more::Error)]
 pub enum SourceError {
-    /// The store no longer keeps the changes that were asked for.
-    #[display("the store dropped its change history")]
+    /// The store does not have the changes that were asked for: it dropped them, or came
+    /// back from an older copy.
+    #[display("the store does not have the changes since the copy")]
     HistoryDropped,
     /// The call failed.
     #[display("{text}")]
@@ -73,12 +74,12 @@
             _ => table.wait_ms.and(Some(0)),
         };
         match step(&hub, table.name, wait_ms, wants_whole).await {
-            Ok((page, version)) => {
+            Ok((page, asked)) => {
                 let next_ms = match store_use {
                     StoreUse::Follow => wait_ms.unwrap_or(table.read_interval_ms),
                     _ => 0,
                 };
-                if !hub.apply_from_store(table.name, page, version, next_ms) {
+                if !hub.apply_from_store(table.name, page, asked, next_ms) {
                     pause(RETRY.max_ms).await;
                     continue;
                 }
@@ -93,7 +94,7 @@
             Err(SourceError::HistoryDropped) => {
                 log::info!(
                     target: "dependency", table = table.name;
-                    "store dropped its change history; reading the whole table again"
+                    "store does not have the changes since the copy; reading the whole table again"
                 );
                 wants_whole = true;
             }
@@ -114,20 +115,24 @@
 }
 
 /// Reads the next changes of a table, or all of it if no wait is given. Returns
-/// also the version up to which the copy was complete before.
+/// also the revision up to which the copy was complete before.
 async fn step(
     hub: &Hub,
     table: &'static str,
     wait_ms: Option<u64>,
     wants_whole: bool,
-) -> Result<(TablePage, u64)> {
-    let version = hub.version(table);
-    let wait_ms = wait_ms.filter(|_| !wants_whole && version > 0);
-    let page = match wait_ms {
-        Some(wait_ms) => (hub.source.changes)(table, version, wait_ms).await?,
-        None => (hub.source.read)(table).await?,
+) -> Result<(TablePage, Revision)> {
+    let asked = hub.revision(table);
+    let wait_ms = wait_ms.filter(|_| !wants_whole && asked.version > 0);
+    let Some(wait_ms) = wait_ms else {
+        return Ok(((hub.source.read)(table).await?, asked));
     };
-    Ok((page, version))
+    let page = (hub.source.changes)(table, asked.version, wait_ms).await?;
+    match page.revision.era > asked.era {
+        // The version that was asked with means another one in the new era.
+        true => Err(SourceError::HistoryDropped),
+        false => Ok((page, asked)),
+    }
 }
 
 /// Pauses for at most the interval, and at least for half of it.
--- a/tests/decide_news.rs
+++ b/tests/decide_news.rs
@@ -10,6 +10,7 @@
         news_sources::{
             Sources, StoreUse, followers, is_follower, pace, sources, store_use, store_use_at_start,
         },
+        revision::Revision,
         table_copy::{PageError, StoreAnswer, StoreJudge, TableCopy, TablePage, TableRow},
     },
     lsn::Lsn,
@@ -19,6 +20,11 @@
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use yare::parameterized;
 
+/// A revision of the first era.
+fn at(version: u64) -> Revision {
+    Revision::new(0, version)
+}
+
 fn row(key: &str, version: u64) -> TableRow {
     TableRow {
         key: key.into(),
@@ -38,7 +44,7 @@
 fn whole(version: u64, rows: Vec<TableRow>) -> TablePage {
     TablePage {
         after: None,
-        version,
+        revision: at(version),
         rows,
     }
 }
@@ -46,7 +52,7 @@
 fn changes(after: u64, version: u64, rows: Vec<TableRow>) -> TablePage {
     TablePage {
         after: Some(after),
-        version,
+        revision: at(version),
         rows,
     }
 }
@@ -100,7 +106,7 @@
     let copy = copy_of(pages);
     let expected: Vec<(String, u64)> = expected.iter().map(|(k, v)| (k.to_string(), *v)).collect();
     assert_eq!(content(&copy), expected);
-    assert_eq!(copy.version(), version);
+    assert_eq!(copy.revision().version, version);
 }
 
 #[parameterized(
@@ -111,7 +117,7 @@
     let mut copy = copy_of(vec![whole(5, vec![row("a", 3)])]);
     assert_eq!(copy.apply(page), Err(expected));
     assert_eq!(content(&copy), [("a".to_string(), 3)]);
-    assert_eq!(copy.version(), 5);
+    assert_eq!(copy.revision().version, 5);
 }
 
 /// A stale answer of the store is ignored; a copy that stays ahead of the store for
@@ -119,13 +125,13 @@
 #[test]
 fn older_answers_of_the_store() {
     let mut judge = StoreJudge::default();
-    assert_eq!(judge.judge(7, 7, 0), StoreAnswer::Current);
-    assert_eq!(judge.judge(6, 7, 1_000), StoreAnswer::Stale);
-    assert_eq!(judge.judge(8, 7, 2_000), StoreAnswer::Current);
-    assert_eq!(judge.judge(6, 9, 3_000), StoreAnswer::Stale);
-    assert_eq!(judge.judge(7, 9, 17_900), StoreAnswer::Stale);
-    assert_eq!(judge.judge(8, 9, 18_000), StoreAnswer::Contradicts);
-    assert_eq!(judge.judge(8, 0, 18_100), StoreAnswer::Current);
+    assert_eq!(judge.judge(at(7), at(7), 0), StoreAnswer::Current);
+    assert_eq!(judge.judge(at(6), at(7), 1_000), StoreAnswer::Stale);
+    assert_eq!(judge.judge(at(8), at(7), 2_000), StoreAnswer::Current);
+    assert_eq!(judge.judge(at(6), at(9), 3_000), StoreAnswer::Stale);
+    assert_eq!(judge.judge(at(7), at(9), 17_900), StoreAnswer::Stale);
+    assert_eq!(judge.judge(at(8), at(9), 18_000), StoreAnswer::Contradicts);
+    assert_eq!(judge.judge(at(8), at(0), 18_100), StoreAnswer::Current);
 }
 
 /// A copy fed by another one's pages, late, twice and in any order, ends up the
@@ -148,7 +154,7 @@
             first
                 .apply(changes(version - 1, version, vec![change]))
                 .unwrap();
-            pages.push(first.page_after(random.random_range(0..=second.version())));
+            pages.push(first.page_after(at(random.random_range(0..=second.revision().version))));
             pages.shuffle(&mut random);
             if random.random_bool(0.5) {
                 // The one that was drawn may be delivered again later.
@@ -160,7 +166,7 @@
                 assert!(before <= version, "seed {seed}");
             }
         }
-        second.apply(first.page_after(second.version())).unwrap();
+        second.apply(first.page_after(second.revision())).unwrap();
         assert_eq!(content(&second), content(&first), "seed {seed}");
     }
 }
@@ -174,10 +180,10 @@
         let page = changes(version - 1, version, vec![removed(&key, version)]);
         copy.apply(page).unwrap();
     }
-    assert_eq!(copy.page_after(2).after, None);
-    assert_eq!(copy.page_after(2_990).after, Some(2_990));
+    assert_eq!(copy.page_after(at(2)).after, None);
+    assert_eq!(copy.page_after(at(2_990)).after, Some(2_990));
     let mut behind = copy_of(vec![whole(2, vec![row("stays", 1), row("k3", 2)])]);
-    behind.apply(copy.page_after(2)).unwrap();
+    behind.apply(copy.page_after(at(2))).unwrap();
     assert_eq!(content(&behind), [("stays".to_string(), 1)]);
 }
 
