--- a/src/decide/revision.rs
+++ b/src/decide/revision.rs
@@ -26,9 +26,26 @@
     pub version: u64,
 }
 
+/// Bits of a fence that hold the version.
+const VERSION_BITS: u32 = 40;
+
 impl Revision {
     /// Creates a revision.
     pub fn new(era: u64, version: u64) -> Revision {
         Revision { era, version }
     }
+
+    /// The revision as one number that rises with it, for services that compare
+    /// fencing tokens.
+    pub fn to_fence(self) -> u64 {
+        self.era << VERSION_BITS | self.version
+    }
+
+    /// The revision that a fence was made of.
+    pub fn from_fence(fence: u64) -> Revision {
+        Revision {
+            era: fence >> VERSION_BITS,
+            version: fence & ((1 << VERSION_BITS) - 1),
+        }
+    }
 }
--- a/tests/decide_eras.rs
+++ b/tests/decide_eras.rs
@@ -1,5 +1,5 @@
 //! Decisions across restores of the store from an older copy: what a copy of a table
-//! takes from a page, and what it tells others.
+//! takes from a page, what it tells others, and fences.
 
 use std::collections::BTreeMap;
 
@@ -157,6 +157,22 @@
     }
 }
 
+#[parameterized(
+    next_version = { Revision::new(0, 7), Revision::new(0, 8) },
+    next_era = { Revision::new(0, 1 << 30), Revision::new(1, 1) },
+    later_era = { Revision::new(1, 1 << 30), Revision::new(7, 0) },
+)]
+fn fence_rises_with_the_revision(older: Revision, newer: Revision) {
+    assert!(older.to_fence() < newer.to_fence());
+    assert_eq!(Revision::from_fence(newer.to_fence()), newer);
+}
+
+/// Without an era the fence is the version, as older builds count.
+#[test]
+fn fence_of_the_first_era_is_the_version() {
+    assert_eq!(Revision::new(0, 77).to_fence(), 77);
+}
+
 /// News of a build that names no era is of era zero.
 #[test]
 fn news_without_an_era_is_of_the_first() {
