Keep a leaving member leaving when its older entry comes back

Seen: by the test only. After the store came back from an older copy, the entry of a member that leaves is ready again until the member writes, which restarts the count of its drain time; and the entry of a process that has been replaced under the same id ends the connections to the new one.

Cause: the last entry read was believed, whatever was known before.

Change: MemberEntry::followed_by. Without a known start the last entry counts, as before.

Test: entry_of_a_member_does_not_go_back, new with the function.

--- a/src/relay/member_list.rs
+++ b/src/relay/member_list.rs
@@ -21,6 +21,19 @@
     pub started_ms: Option<u64>,
 }
 
+impl MemberEntry {
+    /// What holds after the list gave another entry of the same member: `None` if that
+    /// is older. A list that comes back from an older copy may show a process that has
+    /// been replaced, or one that is leaving as it was before.
+    pub fn followed_by(&self, next: MemberEntry) -> Option<MemberEntry> {
+        let (Some(known_ms), Some(next_ms)) = (self.started_ms, next.started_ms) else {
+            return Some(next);
+        };
+        let is_leaving = next.is_leaving || (self.is_leaving && next_ms == known_ms);
+        (next_ms >= known_ms).then_some(MemberEntry { is_leaving, ..next })
+    }
+}
+
 /// Members of all services.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MemberList {
--- a/src/relay/service/members.rs
+++ b/src/relay/service/members.rs
@@ -39,6 +39,13 @@
             self.request_probe(id, clock::boot_us());
             return;
         };
+        let is_back = member.unlisted_since_ms.take().is_some();
+        let Some(entry) = member.entry.followed_by(entry) else {
+            return decision!(
+                "member", service = &*self.context.service, member = &**id;
+                "older entry of a member ignored"
+            );
+        };
         let is_restarted =
             member.entry.started_ms != entry.started_ms || member.entry.address != entry.address;
         let has_new_role = member.entry.role != entry.role;
@@ -53,7 +60,6 @@
             member.idle.clear();
             member.report = None;
         }
-        let is_back = member.unlisted_since_ms.take().is_some();
         member.set_leaving(entry.is_leaving);
         member.entry = entry;
         if is_restarted || has_new_role || is_back {
--- a/tests/decide_eras.rs
+++ b/tests/decide_eras.rs
@@ -1,5 +1,5 @@
 //! Decisions across restores of the store from an older copy: what a copy of a table
-//! takes from a page, what it tells others, and fences.
+//! takes from a page, fences, and entries of members.
 
 use std::collections::BTreeMap;
 
@@ -10,6 +10,7 @@
     },
     news::NewsRequest,
     prelude::Name,
+    relay::MemberEntry,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use yare::parameterized;
@@ -183,3 +184,31 @@
     let page: TablePage = serde_json::from_str(r#"{"after":3,"version":5,"rows":[]}"#).unwrap();
     assert_eq!(page.revision, Revision::new(0, 5));
 }
+
+fn entry(started_ms: Option<u64>, is_leaving: bool) -> MemberEntry {
+    MemberEntry {
+        service: "s".into(),
+        address: "10.0.0.1:1".parse().unwrap(),
+        zone: "z".into(),
+        is_leaving,
+        role: None,
+        started_ms,
+    }
+}
+
+/// A member that leaves does not come back but as another process, and a process that
+/// was replaced does not come back at all.
+#[parameterized(
+    leaving_is_not_taken_back = { entry(Some(5), true), entry(Some(5), false), Some(entry(Some(5), true)) },
+    begins_to_leave = { entry(Some(5), false), entry(Some(5), true), Some(entry(Some(5), true)) },
+    restarted = { entry(Some(5), true), entry(Some(6), false), Some(entry(Some(6), false)) },
+    older_process = { entry(Some(6), false), entry(Some(5), false), None },
+    unknown_start = { entry(None, true), entry(None, false), Some(entry(None, false)) },
+)]
+fn entry_of_a_member_does_not_go_back(
+    known: MemberEntry,
+    next: MemberEntry,
+    expected: Option<MemberEntry>,
+) {
+    assert_eq!(known.followed_by(next), expected);
+}
