Tell the whole table where deletions before it are not known

A VM that has just started and follows the store answers a VM with an older copy by the changes since then. It knows only rows that exist, so rows that were deleted before its first read stay in the other's copy for good: a member that has left, or whose entry expired, stays listed.

Cause: history_from of a copy that was empty before its first whole table stayed at zero, as if all deletions were remembered.

Change: it starts at the version of that table; whoever asks from an earlier one gets the whole table.

Test: rows_deleted_before_a_copy_was_read_are_not_kept_by_others failed before. The copy that decide_eras starts from is put together from a table and a change now; its checks are unchanged.

--- a/src/decide/table_copy.rs
+++ b/src/decide/table_copy.rs
@@ -197,8 +197,13 @@
             });
         }
         if after.is_none() {
-            // Deletions before a whole table are not known one by one.
-            self.history_from = self.history_from.max(known_version);
+            // Deletions before the copy's first version are not known.
+            let history_from = if known_version == 0 {
+                version
+            } else {
+                known_version
+            };
+            self.history_from = self.history_from.max(history_from);
         }
         self.revision.version = self.revision.version.max(version);
         self.forget_old_removals();
--- a/tests/decide_eras.rs
+++ b/tests/decide_eras.rs
@@ -46,8 +46,9 @@
 /// A copy of era 1 up to version 9, in which `a` was written last.
 fn copy_of_era_1() -> TableCopy {
     let mut copy = TableCopy::default();
-    let rows = vec![row("a", 9, "a1"), row("b", 4, "b1")];
-    copy.apply(whole(1, 9, rows)).unwrap();
+    copy.apply(whole(1, 4, vec![row("b", 4, "b1")])).unwrap();
+    copy.apply(changes(1, 4, 9, vec![row("a", 9, "a1")]))
+        .unwrap();
     copy
 }
 
--- a/tests/decide_news.rs
+++ b/tests/decide_news.rs
@@ -187,6 +187,19 @@
     assert_eq!(content(&behind), [("stays".to_string(), 1)]);
 }
 
+/// A copy that was read as a whole does not know what was deleted before: whoever asks
+/// for changes since an earlier version gets the whole table.
+#[test]
+fn rows_deleted_before_a_copy_was_read_are_not_kept_by_others() {
+    let read = copy_of(vec![whole(10, vec![row("stays", 3)])]);
+    let mut behind = copy_of(vec![whole(5, vec![row("stays", 3), row("deleted", 4)])]);
+    behind.apply(read.page_after(at(5))).unwrap();
+    assert_eq!(content(&behind), [("stays".to_string(), 3)]);
+    let mut current = copy_of(vec![whole(10, vec![row("stays", 3)])]);
+    assert_eq!(read.page_after(at(10)).after, Some(10));
+    assert!(!current.apply(read.page_after(at(10))).unwrap());
+}
+
 fn vms(per_zone: usize, zones: &[(&str, &str)]) -> BTreeMap<Name, VmPlace> {
     let mut vms = BTreeMap::new();
     for (zone, region) in zones {
