Count a follower's copy as confirmed during the call that follows a failure

Seen: from reading. After a failure the first call does not wait; its success confirmed the copy only for that moment, although the next call waits for changes for up to 5.4 s. Subscribers would have polled the store meanwhile.

--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -76,7 +76,7 @@
         match step(&hub, table.name, wait_ms, wants_whole).await {
             Ok((page, asked)) => {
                 let next_ms = match store_use {
-                    StoreUse::Follow => wait_ms.unwrap_or(table.read_interval_ms),
+                    StoreUse::Follow => table.wait_ms.unwrap_or(table.read_interval_ms),
                     _ => 0,
                 };
                 if !hub.apply_from_store(table.name, page, asked, next_ms) {
