--- a/src/decide/table_copy.rs
+++ b/src/decide/table_copy.rs
@@ -210,9 +210,17 @@
         Ok(has_changed)
     }
 
-    /// Changes after a revision, or the whole table if it is of another era or not all
-    /// deletions since then are remembered.
+    /// Changes after a revision, or the whole table if it is of an older era or not all
+    /// deletions since then are remembered. There is nothing to tell of an older era
+    /// than that of the revision.
     pub fn page_after(&self, Revision { era, version }: Revision) -> TablePage {
+        if era > self.revision.era {
+            return TablePage {
+                after: Some(self.revision.version),
+                revision: self.revision,
+                rows: Vec::new(),
+            };
+        }
         let is_whole = era != self.revision.era || version == 0 || version < self.history_from;
         let rows = self.rows.values();
         let rows = match is_whole {
