--- a/tests/decide_eras.rs
+++ b/tests/decide_eras.rs
@@ -94,8 +94,7 @@
     assert_eq!(StoreJudge::default().judge(answer, asked, 0), expected);
 }
 
-/// Whoever has a copy of an older era gets the whole table, and whoever has one of a
-/// newer era gets no rows.
+/// The whole table for copies of an older era, no rows for those of a newer one.
 #[parameterized(
     older_era = { Revision::new(0, 30), true, None },
     same_era = { Revision::new(1, 8), true, Some(8) },
@@ -110,8 +109,7 @@
     assert!(after.era < 2 || page.rows.is_empty());
 }
 
-/// A store that is restored again and again, and copies that get each other's pages late
-/// and twice: none goes back, and all end up with what the store holds.
+/// Copies get each other's pages late and twice while the store is restored repeatedly.
 #[test]
 fn copies_converge_across_restores() {
     for seed in 0..200 {
@@ -199,8 +197,7 @@
     }
 }
 
-/// A member that leaves does not come back but as another process, and a process that
-/// was replaced does not come back at all.
+/// A member that leaves comes back as another process only, a replaced process never.
 #[parameterized(
     leaving_is_not_taken_back = { entry(Some(5), true), entry(Some(5), false), Some(entry(Some(5), true)) },
     begins_to_leave = { entry(Some(5), false), entry(Some(5), true), Some(entry(Some(5), true)) },
--- a/tests/decide_news.rs
+++ b/tests/decide_news.rs
@@ -187,8 +187,7 @@
     assert_eq!(content(&behind), [("stays".to_string(), 1)]);
 }
 
-/// A copy that was read as a whole does not know what was deleted before: whoever asks
-/// for changes since an earlier version gets the whole table.
+/// A copy does not know what was deleted before it was first read.
 #[test]
 fn rows_deleted_before_a_copy_was_read_are_not_kept_by_others() {
     let read = copy_of(vec![whole(10, vec![row("stays", 3)])]);
