--- a/review/standin/rig.rs
+++ b/review/standin/rig.rs
@@ -1252,7 +1252,7 @@
 fn slow_promotions(record: Arc<Record>) -> bool {
     let world = World::start(record, HTPTA_POOL_GROWN, 30, 80);
     sleep_ms(6_000);
-    for _ in 0..4 {
+    for _ in 0..6 {
         if world.is_trouble {
             world.duty.answer_ms.store(50 * DUTY_ANSWER_MS, Ordering::Relaxed);
             world.record.line("the promotion service is slow: answers take 1,000 ms");
