--- a/review/standin/rig.rs
+++ b/review/standin/rig.rs
@@ -13,6 +13,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -753,8 +754,12 @@
 
 unsafe extern "C" {
     fn listen(socket: i32, backlog: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 impl Path {
     fn start(name: String, service: SocketAddr, record: Arc<Record>) -> Arc<Path> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -891,10 +896,12 @@
     }
 }
 
-/// Finds a run of free ports on loopback.
-fn free_ports(count: u16) -> u16 {
+/// Finds a run of free ports on loopback, for one VM: below those that the kernel gives to
+/// outgoing connections, in a range that no other VM of the scenario uses.
+fn free_ports(count: u16, index: usize) -> u16 {
     for attempt in 0..200u64 {
-        let base = 20_000 + (mix(attempt ^ u64::from(std::process::id())) % 40_000) as u16;
+        let seed = attempt << 32 | u64::from(std::process::id());
+        let base = 12_000 + 6_000 * index as u16 + (mix(seed) % 5_900) as u16;
         let bound: Vec<_> = (base..base + count)
             .map_while(|port| TcpListener::bind(("127.0.0.1", port)).ok())
             .collect();
@@ -929,7 +936,7 @@
     store: SocketAddr,
     promotion: SocketAddr,
 ) -> Vm {
-    let base = free_ports(8);
+    let base = free_ports(8, index);
     let address = |port: u16| format!("\"127.0.0.1:{port}\"");
     let name = format!("front-{}-1", ZONES[index].0);
     let zones: Vec<String> = ZONES.iter().map(|(z, r)| format!("\"{z}\":\"{r}\"")).collect();
@@ -972,12 +979,21 @@
     let program = program.and_then(|rest| rest.split('"').next());
     let program = program.unwrap_or_else(|| fail("no command in deploy/system.toml"));
     let output = File::options().create(true).append(true).open(log).unwrap();
-    Command::new(program)
+    let mut command = Command::new(program);
+    command
         .env_clear()
         .env("FOXTAILKNOT_SETTINGS", settings)
         .stdin(Stdio::null())
         .stdout(output.try_clone().unwrap())
-        .stderr(output)
+        .stderr(output);
+    // A VM must not outlive this process, however it ends.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+    command
         .spawn()
         .unwrap_or_else(|_| fail("the program isn't built: run the build of the deploy file"))
 }
@@ -1158,7 +1174,7 @@
             vms.push(start_vm(&folder, index, &site, store_address, path.address));
             paths.push(path);
         }
-        let world = World {
+        let mut world = World {
             record,
             members,
             duty,
@@ -1176,6 +1192,11 @@
             }
             sleep_ms(100);
         }
+        for vm in &mut world.vms {
+            if !matches!(vm.child.try_wait(), Ok(None)) {
+                fail("a VM has ended");
+            }
+        }
         world.record.line("all VMs are ready");
         for number in 0..clients {
             let address = world.vms[number as usize % ZONES.len()].callers;
