--- a/review/standin/rig.rs
+++ b/review/standin/rig.rs
@@ -355,8 +355,6 @@
     paused: bool,
     log: Vec<(Entry, Instant)>,
     connections: usize,
-    /// All slots and the queue are full until then: requests are answered with `BUSY`.
-    full_until: Instant,
 }
 
 impl Member {
@@ -536,10 +534,11 @@
         stream.set_nodelay(true).ok()?;
         let mut writer = stream.try_clone().ok()?;
         let mut reader = BufReader::new(stream);
-        let epoch = {
+        let (epoch, is_over_limit) = {
             let mut group = self.group.lock().unwrap();
-            group.members[index].connections += 1;
-            group.members[index].epoch
+            let member = &mut group.members[index];
+            member.connections += 1;
+            (member.epoch, member.connections as u64 > self.site.connections_max)
         };
         let mut line = String::new();
         reader.read_line(&mut line).ok()?;
@@ -557,6 +556,11 @@
             writer.write_all(b"ERROR WRONGNODE another member\r\n").ok()?;
             return None;
         }
+        if is_over_limit {
+            self.record.line(&format!("{} has too many connections: CONNLIMIT to {}", words[3..].join(" "), words[2]));
+            writer.write_all(b"ERROR CONNLIMIT too many connections\r\n").ok()?;
+            return None;
+        }
         let position = self.group.lock().unwrap().members[index].position();
         writer.write_all(format!("READY I {position}\r\n").as_bytes()).ok()?;
         let closer = writer.try_clone().ok()?;
@@ -588,15 +592,6 @@
         }
         let mut group = self.group.lock().unwrap();
         let number = |text: Option<&&str>| text.and_then(|t| t.parse::<u64>().ok()).unwrap_or(0);
-        let is_full = Instant::now() < group.members[index].full_until;
-        if is_full && !matches!(words[0], "SET" | "RESET" | "ROLLBACK" | "PREPARE") {
-            if words[0] == "PAUSE" || words[0] == "STEPDOWN" {
-                let id = group.members[index].id.clone();
-                self.record.line(&format!("{id} is full: BUSY to {text}"));
-            }
-            let position = group.members[index].position();
-            return Some(format!("ERROR BUSY full\r\nREADY I {position}\r\n"));
-        }
         match words[0] {
             "STATUS" | "PAUSE" | "RESUME" | "STEPDOWN" => {
                 let member = &mut group.members[index];
@@ -1137,7 +1132,6 @@
                 paused: false,
                 log: Vec::new(),
                 connections: 0,
-                full_until: Instant::now(),
             };
             let mut group = members.group.lock().unwrap();
             group.members.push(member);
@@ -1215,15 +1209,11 @@
         world
     }
 
-    /// The primary reports that it is draining, before a planned shutdown. The replica with
-    /// the higher id is full for the next 600 ms. Returns the index of the primary, or `None`
-    /// while there is none.
+    /// The primary reports that it is draining, before a planned shutdown. Returns its
+    /// index, or `None` while there is none.
     fn drain_primary(&self) -> Option<usize> {
         let mut group = self.members.group.lock().unwrap();
         let index = group.primary()?;
-        let replicas = (0..group.members.len()).filter(|i| *i != index);
-        let full = replicas.max_by_key(|i| group.members[*i].id.clone())?;
-        group.members[full].full_until = Instant::now() + Duration::from_millis(600);
         group.members[index].draining = true;
         let id = group.members[index].id.clone();
         self.members.report(&mut group, index);
@@ -1231,6 +1221,28 @@
         Some(index)
     }
 
+    /// Another caller of the database opens connections to the replica with the higher id
+    /// up to its limit, and closes them after `ms`.
+    fn use_up_connections(&self, ms: u64) {
+        let group = self.members.group.lock().unwrap();
+        let replicas = group.members.iter().filter(|m| !m.primary);
+        let Some(replica) = replicas.max_by_key(|m| m.id.clone()) else { return };
+        let (id, address) = (replica.id.clone(), replica.address);
+        drop(group);
+        self.record.line(&format!("another caller uses up the connections of {id} for {ms} ms"));
+        let mut open = Vec::new();
+        for _ in 0..self.members.site.connections_max {
+            let Ok(mut stream) = TcpStream::connect(address) else { continue };
+            let _ = stream.write_all(format!("OPEN {SERVICE} report {id}\r\n").as_bytes());
+            open.push(stream);
+        }
+        sleep_ms(30);
+        thread::spawn(move || {
+            sleep_ms(ms);
+            drop(open);
+        });
+    }
+
     fn end(self) -> (BTreeSet<Entry>, u64) {
         self.stop.store(true, Ordering::Relaxed);
         sleep_ms(1_500);
@@ -1278,6 +1290,7 @@
             world.duty.answer_ms.store(50 * DUTY_ANSWER_MS, Ordering::Relaxed);
             world.record.line("the promotion service is slow: answers take 1,000 ms");
         }
+        world.use_up_connections(600);
         let Some(index) = world.drain_primary() else { continue };
         sleep_ms(4_500);
         world.duty.answer_ms.store(DUTY_ANSWER_MS, Ordering::Relaxed);
