--- a/review/standin/rig.rs
+++ b/review/standin/rig.rs
@@ -373,8 +373,6 @@
     acked: BTreeSet<Entry>,
     /// Acknowledged commits that a promoted member lacked.
     lost: BTreeSet<Entry>,
-    /// Commits in effect for each id, also rolled back ones.
-    runs: BTreeMap<String, u64>,
     promotions: Vec<(f64, String)>,
 }
 
@@ -652,7 +650,8 @@
                     id: id.to_owned(),
                 };
                 member.log.push((entry.clone(), Instant::now()));
-                *group.runs.entry(id.to_owned()).or_default() += 1;
+                let at = &group.members[index].id;
+                self.record.line(&format!("{at} runs {id}: {text}, commit {term}.{}", last + 1));
                 let end = Instant::now() + Duration::from_secs(5);
                 loop {
                     if group.acked.contains(&entry) {
@@ -1014,10 +1013,17 @@
     other: AtomicU64,
 }
 
-fn client(number: u64, address: SocketAddr, pause_ms: u64, outcomes: Arc<Outcomes>, stop: Arc<AtomicBool>) {
+fn client(
+    number: u64,
+    address: SocketAddr,
+    pause_ms: u64,
+    record: Arc<Record>,
+    outcomes: Arc<Outcomes>,
+    stop: Arc<AtomicBool>,
+) {
     let mut count = 0;
     while !stop.load(Ordering::Relaxed) {
-        let _ = client_session(number, &mut count, address, pause_ms, &outcomes, &stop);
+        let _ = client_session(number, &mut count, address, pause_ms, &record, &outcomes, &stop);
         sleep_ms(100);
     }
 }
@@ -1027,6 +1033,7 @@
     count: &mut u64,
     address: SocketAddr,
     pause_ms: u64,
+    record: &Record,
     outcomes: &Outcomes,
     stop: &AtomicBool,
 ) -> Option<()> {
@@ -1043,11 +1050,13 @@
     while !stop.load(Ordering::Relaxed) {
         *count += 1;
         let id = format!("{number:04x}{count:08x}");
+        record.line(&format!("client sends {id}: WRITE item{number} v{count}"));
         stream.write_all(format!("QUERY {id} WRITE item{number} v{count}\r\n").as_bytes()).ok()?;
         let mut result = String::new();
         loop {
             let mut line = String::new();
             if reader.read_line(&mut line).ok().unwrap_or(0) == 0 {
+                record.line(&format!("no answer to {id}: the connection ended"));
                 outcomes.other.fetch_add(1, Ordering::Relaxed);
                 return None;
             }
@@ -1056,6 +1065,7 @@
             }
             result = line;
         }
+        record.line(&format!("answer to {id}: {}", result.trim_end()));
         let words: Vec<&str> = result.split_whitespace().collect();
         match (words.first(), words.get(1)) {
             (Some(&"COMPLETE"), Some(digest)) if *digest == format!("d.{id}") => {
@@ -1195,7 +1205,8 @@
         for number in 0..clients {
             let address = world.vms[number as usize % ZONES.len()].callers;
             let (outcomes, stop) = (world.outcomes.clone(), world.stop.clone());
-            thread::spawn(move || client(number, address, pause_ms, outcomes, stop));
+            let record = world.record.clone();
+            thread::spawn(move || client(number, address, pause_ms, record, outcomes, stop));
         }
         // The VMs connect to members once they know one another.
         let deadline = Instant::now() + Duration::from_secs(15);
