--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -168,10 +168,21 @@
     /// With synchronous replicas, a replica confirmed the commit after it was
     /// sent, so no other member led at that time: everything acknowledged
     /// before lies at or before its position.
-    pub(super) fn record_commit(&mut self, route: &Route, answer: &Answer, sent_us: u64) {
+    pub(super) fn record_commit(
+        &mut self,
+        route: &Route,
+        (statement, member): (&Statement, &Name),
+        answer: &Answer,
+        sent_us: u64,
+    ) {
         let Some(position) = answer.position else {
             return;
         };
+        decision!(
+            "commit", request = String::from_utf8_lossy(&statement.id),
+            service = &*route.service, member = &**member, position = position.to_string();
+            "commit acknowledged"
+        );
         self.floor = self.floor.max(Some(position));
         if self.shared.sync_replicas(&route.service) > 0 {
             let since_ms = sent_us / 1_000;
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -242,7 +242,8 @@
             }
         };
         let Some(class) = answer.error else {
-            self.record_commit(route, &answer, sent_us);
+            let committed = (autocommit.statement, &member);
+            self.record_commit(route, committed, &answer, sent_us);
             self.position = answer.position.or(self.position);
             self.release(service, connection, false, None);
             return Step::Reply(Reply::Answer(answer));
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -263,7 +263,7 @@
         };
         self.position = answer.position.or(self.position);
         if answer.error.is_none() && transaction.has_written {
-            self.record_commit(&route, &answer, sent_us);
+            self.record_commit(&route, (statement, &member), &answer, sent_us);
         }
         if let Some(class) = answer.error {
             self.report_refusal(service, &member, class);
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -264,6 +264,11 @@
     };
     if is_fenced(plan, group_member, &report) {
         let received = report.received;
+        decision!(
+            "takeover", service = &*plan.context.service, member = &**member,
+            role = report.role.to_string(), received = received.to_string(),
+            held_term = report.held_term, term = plan.term; "member fenced"
+        );
         return FenceOutcome::Fenced(member.clone(), Fenced { received });
     }
     decision!(
@@ -348,8 +353,14 @@
     };
     while clock::boot_ms() < started_ms + LEADERSHIP_MS {
         let report = order_member(plan, &group_member.target, &MemberRequest::Status).await;
-        if report.is_ok_and(|r| r.role == Role::Primary) {
-            return;
+        if let Ok(report) = report
+            && report.role == Role::Primary
+        {
+            return decision!(
+                "takeover", service = &*plan.context.service, member = &**member,
+                term = report.term, received = report.received.to_string();
+                "promoted member leads"
+            );
         }
         let pause_ms = rand::rng().random_range(20..60);
         compio::time::sleep(Duration::from_millis(pause_ms)).await;
@@ -369,12 +380,17 @@
     let replicas = plan.members.iter().filter(|m| !m.is_primary && !m.is_gone);
     let orders = replicas.map(|m| async move {
         let result = order_member(plan, &m.target, &MemberRequest::Resume).await;
-        if let Err(error) = result {
-            decision!(
-                "takeover", service = &*plan.context.service,
-                member = &*m.target.member, reason = error.to_string();
-                "member not resumed"
-            );
+        let member = &*m.target.member;
+        match result {
+            Ok(report) => decision!(
+                "takeover", service = &*plan.context.service, member = member,
+                received = report.received.to_string(), held_term = report.held_term;
+                "member resumed"
+            ),
+            Err(error) => decision!(
+                "takeover", service = &*plan.context.service, member = member,
+                reason = error.to_string(); "member not resumed"
+            ),
         }
     });
     join_all(orders).await;
