--- /dev/null
+++ b/src/decide/attempt.rs
@@ -0,0 +1,379 @@
+//! One attempt to replace a primary, as steps that need no network.
+//!
+//! A promotion takes effect some time after it was ordered, with the log that the
+//! member has by then. What an attempt has seen must therefore hold until the promoted
+//! member leads: either the old primary has stepped down, so that nothing more is
+//! acknowledged, or no VM that was asked reaches it and all others have stopped
+//! receiving.
+
+use crate::{
+    decide::takeover::{Candidate, Choice, Fenced, Reason, WaitReason, choose},
+    prelude::*,
+};
+
+/// Longest time from the claim to the last promotion order, in milliseconds.
+pub const ATTEMPT_MS: u64 = 2_500;
+/// Longest time from the claim to the promoted member's report that it is primary, in
+/// milliseconds.
+pub const LEADERSHIP_MS: u64 = 4_800;
+/// Latest time after the claim at which replicas are ordered to resume, in
+/// milliseconds: with the order's own time-out, less than the claim lasts.
+pub const RESUME_MS: u64 = 5_300;
+/// Time after the primary has stepped down in which replicas may catch up with it,
+/// before the primary itself is promoted again, in milliseconds.
+const CATCH_UP_MS: u64 = 500;
+/// The same when a member has restarted under an id that is not known yet: it may
+/// hold commits that the others lack, and is listed within about a second.
+const RESTART_MS: u64 = 1_200;
+/// A member of the group, as an attempt knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptMember {
+    /// Id.
+    pub member: Name,
+    /// Whether it is the primary to be replaced.
+    pub is_primary: bool,
+    /// Whether it is leaving, or missing from the list beyond the grace period.
+    pub is_leaving: bool,
+    /// Whether it counts as permanently gone.
+    pub is_gone: bool,
+}
+
+/// What an order to a member, or a question about its position, has led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It has stepped down, or receives nothing.
+    Fenced {
+        /// Last position received.
+        received: Position,
+    },
+    /// It is a replica that may go on receiving.
+    Receiving {
+        /// Last position received.
+        received: Position,
+    },
+    /// It leads, and is not the primary to be replaced.
+    Leads,
+    /// It still leads, although it was ordered to step down.
+    NotSteppedDown,
+    /// Another member answers at its address, since recently: this one has probably
+    /// restarted under a new id.
+    Restarted,
+    /// Its process is gone or another one stands at its address; a fence is lost.
+    Lost,
+    /// It gave no answer, or was too busy for one.
+    Silent,
+}
+
+/// Outcome of an order to promote a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum PromoteOutcome {
+    /// The member will become the primary.
+    Accepted,
+    /// The member can't become the primary.
+    Refused,
+    /// No usable answer came; the member may have been promoted.
+    Unknown,
+    /// The order was not sent: its time had passed, or nobody answered at the address.
+    NotSent,
+}
+
+/// What an attempt does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Order the primary to step down, unless it has; if it has, ask the other members
+    /// for their positions, else order them to stop receiving.
+    Fence,
+    /// Wait before the next round.
+    Pause,
+    /// Record the order where it lasts, and check the fences again.
+    Prepare {
+        /// Member to be promoted.
+        member: Name,
+    },
+    /// Order the promotion.
+    Promote {
+        /// Member to be promoted.
+        member: Name,
+    },
+    /// Ask whether the promoted member leads.
+    AwaitLeadership {
+        /// Member that was ordered.
+        member: Name,
+    },
+    /// Let the replicas receive again.
+    Resume,
+    /// The attempt is over.
+    End,
+}
+
+/// An attempt to replace a primary.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Time at which the claim was asked for, in milliseconds.
+    started_ms: u64,
+    /// Whether this VM knows of members that left the list and may come back.
+    knows_departed: bool,
+    members: Vec<AttemptMember>,
+    /// Position of the primary and time of its answer, once it has stepped down.
+    stepped_down: Option<(Position, u64)>,
+    /// Positions of the other members that are fenced, or that have answered after
+    /// the primary had stepped down.
+    positions: BTreeMap<Name, Position>,
+    refused: BTreeSet<Name>,
+    has_restarted: bool,
+    step: Step,
+    is_order_unsent: bool,
+    is_outcome_unknown: bool,
+    promoted: Option<Name>,
+    has_ordered_promotion: bool,
+}
+
+impl Attempt {
+    /// Creates an attempt. An unfinished one only lets the replicas receive again.
+    pub fn new(
+        started_ms: u64,
+        reason: Reason,
+        knows_departed: bool,
+        members: Vec<AttemptMember>,
+    ) -> Attempt {
+        Attempt {
+            started_ms,
+            knows_departed,
+            members,
+            stepped_down: None,
+            positions: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            has_restarted: false,
+            step: match reason {
+                Reason::Unfinished => Step::Resume,
+                _ => Step::Fence,
+            },
+            is_order_unsent: false,
+            is_outcome_unknown: false,
+            promoted: None,
+            has_ordered_promotion: false,
+        }
+    }
+
+    /// The step to be taken now.
+    pub fn step(&self) -> &Step {
+        &self.step
+    }
+
+    /// Whether the primary has stepped down.
+    pub fn has_stepped_down(&self) -> bool {
+        self.stepped_down.is_some()
+    }
+
+    /// Member that is known to lead after this attempt.
+    pub fn promoted(&self) -> Option<&Name> {
+        self.promoted.as_ref()
+    }
+
+    /// Whether a promotion was ordered, so that the claim must be kept until it expires.
+    pub fn has_ordered_promotion(&self) -> bool {
+        self.has_ordered_promotion
+    }
+
+    /// Whether other VMs should go first next time: this one could not give an order, or
+    /// got no answer that settles it.
+    pub fn has_failed_to_order(&self) -> bool {
+        self.is_order_unsent || (self.has_ordered_promotion && self.promoted.is_none())
+    }
+
+    /// Replaces the members by those that are known now. The primary to be replaced
+    /// stays the same.
+    pub fn update_members(&mut self, mut members: Vec<AttemptMember>) {
+        let replaced = self.members.iter().find(|m| m.is_primary);
+        let replaced = replaced.map(|m| m.member.clone());
+        for member in &mut members {
+            member.is_primary = Some(&member.member) == replaced.as_ref();
+        }
+        self.members = members;
+    }
+
+    /// The members, with what they have answered.
+    pub fn candidates(&self) -> Vec<Candidate> {
+        let members = self.members.iter().map(|m| {
+            let is_refused = self.refused.contains(&m.member);
+            let position = match m.is_primary {
+                true => self.stepped_down.map(|(position, _)| position),
+                false => self.positions.get(&m.member).copied(),
+            };
+            let fenced = position.map(|received| Fenced { received });
+            Candidate {
+                member: m.member.clone(),
+                is_primary: m.is_primary,
+                is_leaving: m.is_leaving || is_refused,
+                is_gone: m.is_gone,
+                fenced: fenced.filter(|_| !is_refused),
+            }
+        });
+        members.collect()
+    }
+
+    /// The successor, as far as one can be chosen by what is known.
+    pub fn choice(&self) -> Choice {
+        choose(&self.candidates(), self.knows_departed)
+    }
+
+    /// Records the end of [`Step::Fence`].
+    pub fn fenced(&mut self, answers: &BTreeMap<Name, OrderAnswer>, now_ms: u64) {
+        self.has_restarted = false;
+        if self.record_answers(answers, now_ms) {
+            self.step = Step::Resume;
+            return;
+        }
+        self.step = self.weigh(now_ms);
+    }
+
+    /// Records answers; `true` if another member leads already.
+    fn record_answers(&mut self, answers: &BTreeMap<Name, OrderAnswer>, now_ms: u64) -> bool {
+        let mut is_replaced = false;
+        let primary = self.members.iter().find(|m| m.is_primary);
+        let primary = primary.map(|m| m.member.clone());
+        if let Some(answer) = primary.as_ref().and_then(|primary| answers.get(primary))
+            && let OrderAnswer::Fenced { received } = *answer
+        {
+            let since_ms = self.stepped_down.map_or(now_ms, |(_, since_ms)| since_ms);
+            self.stepped_down = Some((received, since_ms));
+        }
+        for (member, answer) in answers {
+            let is_primary = Some(member) == primary.as_ref();
+            self.has_restarted |= *answer == OrderAnswer::Restarted;
+            if is_primary {
+                continue;
+            }
+            match *answer {
+                OrderAnswer::Fenced { received } => {
+                    self.positions.insert(member.clone(), received);
+                }
+                OrderAnswer::Receiving { received } if self.stepped_down.is_some() => {
+                    self.positions.insert(member.clone(), received);
+                }
+                OrderAnswer::Leads => is_replaced = true,
+                OrderAnswer::Receiving { .. } | OrderAnswer::Restarted | OrderAnswer::Lost => {
+                    self.positions.remove(member);
+                }
+                OrderAnswer::NotSteppedDown | OrderAnswer::Silent => {}
+            }
+        }
+        is_replaced
+    }
+
+    /// The step after a round.
+    fn weigh(&self, now_ms: u64) -> Step {
+        if now_ms >= self.started_ms + ATTEMPT_MS {
+            return Step::Resume;
+        }
+        let Choice::Promote(member) = self.choice() else {
+            return Step::Pause;
+        };
+        let catch_up_ms = match self.has_restarted {
+            true => RESTART_MS,
+            false => CATCH_UP_MS,
+        };
+        let is_early = |(_, at_ms): (Position, u64)| now_ms < at_ms + catch_up_ms;
+        let is_primary = |m: &AttemptMember| m.is_primary && m.member == member;
+        match self.members.iter().any(is_primary) && self.stepped_down.is_some_and(is_early) {
+            true => Step::Pause,
+            false => Step::Prepare { member },
+        }
+    }
+
+    /// Records the end of [`Step::Pause`].
+    pub fn paused(&mut self, now_ms: u64) {
+        self.step = match now_ms >= self.started_ms + ATTEMPT_MS {
+            true => Step::Resume,
+            false => Step::Fence,
+        };
+    }
+
+    /// Records the end of [`Step::Prepare`]: whether the order is recorded, what the
+    /// members have answered.
+    pub fn prepared(
+        &mut self,
+        is_recorded: bool,
+        answers: &BTreeMap<Name, OrderAnswer>,
+        now_ms: u64,
+    ) {
+        let Step::Prepare { member } = &self.step else {
+            return;
+        };
+        let member = member.clone();
+        if self.record_answers(answers, now_ms) {
+            self.step = Step::Resume;
+            return;
+        }
+        let is_unchanged = self.choice() == Choice::Promote(member.clone());
+        let is_late = now_ms >= self.started_ms + ATTEMPT_MS;
+        self.step = match (is_late, is_recorded && is_unchanged) {
+            (true, _) => Step::Resume,
+            (false, true) => Step::Promote { member },
+            (false, false) => Step::Fence,
+        };
+    }
+
+    /// Records the end of [`Step::Promote`].
+    pub fn ordered(&mut self, outcome: PromoteOutcome) {
+        let Step::Promote { member } = &self.step else {
+            return;
+        };
+        let member = member.clone();
+        if outcome == PromoteOutcome::NotSent && !self.has_ordered_promotion {
+            self.is_order_unsent = true;
+            self.step = Step::Resume;
+            return;
+        }
+        self.has_ordered_promotion = true;
+        self.is_outcome_unknown |= outcome == PromoteOutcome::Unknown;
+        // A refusal after an order of unknown outcome does not tell that the first one
+        // was not carried out.
+        if outcome == PromoteOutcome::Refused && !self.is_outcome_unknown {
+            self.refused.insert(member);
+            self.step = Step::Fence;
+            return;
+        }
+        self.step = Step::AwaitLeadership { member };
+    }
+
+    /// Records the end of [`Step::AwaitLeadership`]. While the order may still be
+    /// carried out the replicas are not resumed.
+    pub fn awaited(&mut self, leads: bool, now_ms: u64) {
+        let Step::AwaitLeadership { member } = &self.step else {
+            return;
+        };
+        let member = member.clone();
+        self.step = match leads {
+            true => {
+                self.promoted = Some(member);
+                Step::Resume
+            }
+            false if now_ms >= self.started_ms + LEADERSHIP_MS => Step::End,
+            false if self.is_outcome_unknown && now_ms < self.started_ms + ATTEMPT_MS => {
+                Step::Promote { member }
+            }
+            false => Step::AwaitLeadership { member },
+        };
+    }
+
+    /// Whether replicas may still be ordered to resume: shortly before the claim expires
+    /// this is left to the next attempt, which may already have fenced them.
+    pub fn may_resume(&self, now_ms: u64) -> bool {
+        now_ms < self.started_ms + RESUME_MS
+    }
+
+    /// Records the end of [`Step::Resume`].
+    pub fn resumed(&mut self) {
+        self.step = Step::End;
+    }
+
+    /// Why no successor is chosen yet, for logs.
+    pub fn wait_reason(&self) -> Option<WaitReason> {
+        match self.choice() {
+            Choice::Wait(reason) => Some(reason),
+            Choice::Promote(_) => None,
+        }
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,7 +6,9 @@
 pub mod acknowledge;
 pub mod admission;
 pub mod age;
+pub mod attempt;
 pub mod barrier;
+pub mod claim;
 pub mod classify;
 pub mod dispatch;
 pub mod failover;
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -230,5 +230,7 @@
     TakeoverEnded {
         /// Member that was promoted, if any.
         promoted: Option<Name>,
+        /// Whether other VMs should go first next time.
+        has_failed_to_order: bool,
     },
 }
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -5,13 +5,16 @@
 use futures::future::LocalBoxFuture;
 
 use super::Codecs;
+pub use crate::decide::attempt::PromoteOutcome;
 use crate::{news::FloorListener, prelude::*};
 
 /// Temporary right of one VM to replace the primary of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Claim {
-    /// Fencing token; it rises with each claim.
+    /// Fencing token; it rises with each claim and each recorded order.
     pub fence: u64,
+    /// Time of the claim on the platform's clock, in milliseconds.
+    pub claimed_ms: u64,
 }
 
 /// An order to promote a member.
@@ -23,18 +26,9 @@
     pub member: Name,
     /// Fencing token of the claim.
     pub fence: u64,
-}
-
-/// Outcome of an order to promote a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum PromoteOutcome {
-    /// The member will become the primary.
-    Accepted,
-    /// The member can't become the primary.
-    Refused,
-    /// No usable answer came; the member may have been promoted.
-    Unknown,
+    /// Time after which it must not be sent any more, in milliseconds since the machine
+    /// booted.
+    pub send_until_ms: u64,
 }
 
 /// Functions that decide which VM may replace a primary, and that promote members.
@@ -43,6 +37,10 @@
     /// Claims the right for a service; `None` when another VM holds it or the
     /// platform does not answer.
     pub claim: Rc<dyn Fn(Name) -> LocalBoxFuture<'static, Option<Claim>>>,
+    /// Records in the claim which member is to be ordered, and returns the claim with
+    /// the fence of that order; `None` when the claim is lost or the platform does not
+    /// answer.
+    pub record_order: Rc<dyn Fn(Name, Claim, Name) -> LocalBoxFuture<'static, Option<Claim>>>,
     /// Gives up the claim.
     pub release: Rc<dyn Fn(Name, Claim) -> LocalBoxFuture<'static, ()>>,
     /// Orders a promotion.
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -237,7 +237,10 @@
                 // The attempt may have ended meanwhile.
                 let _ = reply.send(self.group_members());
             }
-            ServiceMessage::TakeoverEnded { promoted } => self.takeover_ended(promoted),
+            ServiceMessage::TakeoverEnded {
+                promoted,
+                has_failed_to_order,
+            } => self.takeover_ended(promoted, has_failed_to_order),
         }
     }
 
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -30,6 +30,9 @@
 const START_DELAY_MS: u64 = 400;
 /// Pause after an attempt, in milliseconds.
 const COOLDOWN_MS: u64 = 800;
+/// The same after one in which this VM could not give an order, or got no answer that
+/// settles it, in milliseconds: once the claim has ended, another VM goes first.
+const FAILED_ORDER_COOLDOWN_MS: u64 = 3_000;
 /// Time after which a member that is missing from the list is removed, in
 /// milliseconds.
 pub(super) const MEMBER_RETENTION_MS: u64 = 60_000;
@@ -209,10 +212,14 @@
         compio::runtime::spawn(takeover::run(plan)).detach();
     }
 
-    pub(super) fn takeover_ended(&mut self, promoted: Option<Name>) {
+    pub(super) fn takeover_ended(&mut self, promoted: Option<Name>, has_failed_to_order: bool) {
         let now_ms = clock::boot_ms();
+        let pause_ms = match has_failed_to_order {
+            true => FAILED_ORDER_COOLDOWN_MS,
+            false => COOLDOWN_MS,
+        };
         self.takeover = Takeover::CoolingDown {
-            until_ms: now_ms + COOLDOWN_MS,
+            until_ms: now_ms + pause_ms,
         };
         self.stuck_commit = None;
         match promoted {
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -1,48 +1,36 @@
 //! One attempt at a takeover, the replacement of a primary: claim the right, fence
-//! the members, choose a successor, promote it.
+//! the members, choose a successor, promote it. [`Attempt`] decides each step.
 
-use futures::{channel::oneshot, future::join_all};
+mod orders;
+
+use futures::{
+    channel::oneshot,
+    future::{join, join_all},
+};
 use rand::Rng;
 
+use self::orders::Orders;
 use super::{
-    Claim, ErrorClass, MemberCodec, MemberRequest, PromoteOutcome, Promotion, RelayError, Result,
-    StatusReport, exchange,
-    message::ServiceMessage,
-    open::{Target, open},
-    service::ServiceContext,
+    Claim, ErrorClass, MemberRequest, PromoteOutcome, Promotion, RelayError, Result, StatusReport,
+    message::ServiceMessage, open::Target, service::ServiceContext,
 };
 use crate::{
     clock,
     decide::{
+        attempt::{ATTEMPT_MS, Attempt, AttemptMember, OrderAnswer, Step},
         member::Role,
-        takeover::{Candidate, Choice, Fenced, Reason, choose},
+        takeover::Reason,
     },
     decision_log::decision,
     metrics::{label, name_label},
     prelude::*,
-    proxy::connection::Permit,
 };
 
-/// Longest time from the claim to the promotion order, in milliseconds; less than
-/// the time for which the claim lasts.
-const ATTEMPT_MS: u64 = 2_500;
-/// Longest time of one order to a member: a round trip to another region, a new
-/// connection, and a full queue there.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between two rounds of orders.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
-/// Rounds in which replicas may catch up with a primary that has stepped down,
-/// before the primary itself is promoted again.
-const CATCH_UP_ROUNDS: u32 = 4;
-/// The same when a member has restarted under an id that is not known yet: it may
-/// hold commits that the others lack, and is listed within about a second.
-const RESTART_ROUNDS: u32 = 12;
-/// Longest time from the claim to the promoted member's report that it is
-/// primary, in milliseconds.
-const LEADERSHIP_MS: u64 = 4_800;
-/// Latest time after the claim at which replicas are ordered to resume, in
-/// milliseconds: with the order's own time-out, less than the claim lasts.
-const RESUME_MS: u64 = 5_300;
+/// Time that the order to step down has before the other members are fenced as well.
+/// Replicas that are not fenced receive what a primary that steps down had sent.
+const HEAD_START: Duration = Duration::from_millis(200);
 
 /// A member of the group whose primary is to be replaced.
 #[derive(Clone, Debug)]
@@ -80,98 +68,106 @@
     let authority = plan.context.options.authority.clone();
     let service = plan.context.service.clone();
     let claim = (authority.claim)(service.clone()).await;
-    let end = match &claim {
-        Some(claim) => attempt(&mut plan, claim, started_ms).await,
+    let mut attempt = Attempt::new(
+        started_ms,
+        plan.reason,
+        plan.knows_departed,
+        plan.attempt_members(),
+    );
+    let claim = match claim {
+        Some(claim) => Some(carry_out(&mut plan, &mut attempt, claim, started_ms).await),
         None => {
             decision!("takeover", service = &*service; "claim not granted");
-            AttemptEnd::default()
+            None
         }
     };
-    let promoted = end.promoted;
+    let promoted = attempt.promoted().cloned();
     decision!(
         "takeover", service = &*service, reason = plan.reason.to_string(),
         promoted = promoted.as_deref().unwrap_or("none"),
+        has_ordered = attempt.has_ordered_promotion(),
         took_ms = clock::boot_ms() - started_ms; "attempt ended"
     );
-    plan.context
-        .send(ServiceMessage::TakeoverEnded { promoted });
+    plan.context.send(ServiceMessage::TakeoverEnded {
+        promoted,
+        has_failed_to_order: attempt.has_failed_to_order(),
+    });
     // After a promotion order the claim is kept until it expires, so that no other
     // VM gives a conflicting order soon after.
-    if let Some(claim) = claim.filter(|_| !end.has_ordered_promotion) {
+    if let Some(claim) = claim.filter(|_| !attempt.has_ordered_promotion()) {
         (authority.release)(service, claim).await;
     }
 }
 
-/// How an attempt ended.
-#[derive(Default)]
-struct AttemptEnd {
-    promoted: Option<Name>,
-    has_ordered_promotion: bool,
-}
-
-async fn attempt(plan: &mut TakeoverPlan, claim: &Claim, started_ms: u64) -> AttemptEnd {
-    let mut end = AttemptEnd::default();
-    if plan.reason == Reason::Unfinished {
-        // The primary is healthy: only its replicas have to resume.
-        resume(plan, started_ms).await;
-        return end;
-    }
-    let mut fenced = BTreeMap::new();
-    let mut refused = BTreeSet::new();
-    let mut round = 0;
-    while clock::boot_ms() < started_ms + ATTEMPT_MS {
-        let state = fence(plan, &mut fenced).await;
-        if state == PlanState::Outdated {
-            break;
-        }
-        round += 1;
-        let candidates = candidates(plan, &fenced, &refused);
-        let choice = choose(&candidates, plan.knows_departed);
-        decision!(
-            "takeover", service = &*plan.context.service, fence = claim.fence,
-            term = plan.term, round = round, choice = format!("{choice:?}"),
-            members = format!("{candidates:?}"); "successor weighed"
-        );
-        let Choice::Promote(member) = choice else {
-            compio::time::sleep(ROUND_PAUSE).await;
-            continue;
-        };
-        let catch_up_rounds = match state {
-            PlanState::MemberRestarted => RESTART_ROUNDS,
-            _ => CATCH_UP_ROUNDS,
-        };
-        if plan.is_primary(&member) && round < catch_up_rounds {
-            compio::time::sleep(ROUND_PAUSE).await;
-            if state == PlanState::MemberRestarted {
-                plan.refresh_members().await;
+/// Takes the steps of an attempt; returns the claim as it is recorded then.
+async fn carry_out(
+    plan: &mut TakeoverPlan,
+    attempt: &mut Attempt,
+    mut claim: Claim,
+    started_ms: u64,
+) -> Claim {
+    let orders = Orders::new(plan.context.clone());
+    loop {
+        match attempt.step().clone() {
+            Step::Fence => {
+                let answers = fence(plan, attempt, &orders).await;
+                plan.refresh_members(attempt).await;
+                let now_ms = clock::boot_ms();
+                attempt.fenced(&answers, now_ms);
+                decision!(
+                    "takeover", service = &*plan.context.service, fence = claim.fence,
+                    term = plan.term, choice = format!("{:?}", attempt.choice()),
+                    members = format!("{:?}", attempt.candidates());
+                    "successor weighed"
+                );
             }
-            continue;
-        }
-        if clock::boot_ms() >= started_ms + ATTEMPT_MS {
-            break;
-        }
-        end.has_ordered_promotion = true;
-        match promote(plan, claim, &member).await {
-            PromoteOutcome::Accepted => {
-                await_leadership(plan, &member, started_ms).await;
-                end.promoted = Some(member);
-                break;
+            Step::Pause => {
+                compio::time::sleep(ROUND_PAUSE).await;
+                attempt.paused(clock::boot_ms());
+            }
+            Step::Prepare { member } => {
+                let service = plan.context.service.clone();
+                let authority = &plan.context.options.authority;
+                let record = (authority.record_order)(service, claim.clone(), member);
+                let fencing = check_fences(plan, attempt, &orders);
+                let (recorded, answers) = join(record, fencing).await;
+                let is_recorded = recorded.is_some();
+                claim = recorded.unwrap_or(claim);
+                plan.refresh_members(attempt).await;
+                attempt.prepared(is_recorded, &answers, clock::boot_ms());
+            }
+            Step::Promote { member } => {
+                let outcome = promote(plan, &claim, &member, started_ms + ATTEMPT_MS).await;
+                attempt.ordered(outcome);
             }
-            PromoteOutcome::Refused => {
-                refused.insert(member);
+            Step::AwaitLeadership { member } => {
+                let leads = leads(plan, &orders, &member).await;
+                attempt.awaited(leads, clock::boot_ms());
             }
-            // The order may have been carried out, so the same one is sent again.
-            PromoteOutcome::Unknown => {}
+            Step::Resume => {
+                resume(plan, attempt, &orders).await;
+                attempt.resumed();
+            }
+            Step::End => return claim,
         }
     }
-    resume(plan, started_ms).await;
-    end
 }
 
 impl TakeoverPlan {
+    /// The members as the attempt needs them.
+    fn attempt_members(&self) -> Vec<AttemptMember> {
+        let members = self.members.iter().map(|m| AttemptMember {
+            member: m.target.member.clone(),
+            is_primary: m.is_primary,
+            is_leaving: m.is_leaving,
+            is_gone: m.is_gone,
+        });
+        members.collect()
+    }
+
     /// Replaces the members by those that the service knows now. The primary to be
     /// replaced stays the same.
-    async fn refresh_members(&mut self) {
+    async fn refresh_members(&mut self, attempt: &mut Attempt) {
         let (reply, members) = oneshot::channel();
         self.context.send(ServiceMessage::GroupMembers { reply });
         let Ok(mut members) = members.await else {
@@ -182,155 +178,133 @@
         for group_member in &mut members {
             group_member.is_primary = Some(&group_member.target.member) == replaced.as_ref();
         }
-        decision!(
-            "takeover", service = &*self.context.service,
-            before = self.members.len(), members = members.len();
-            "a member has restarted under another id: members refreshed"
-        );
-        self.members = members;
-    }
-
-    fn is_primary(&self, member: &Name) -> bool {
-        let mut members = self.members.iter();
-        members.any(|m| m.is_primary && m.target.member == *member)
-    }
-}
-
-/// Outcome of the fencing of one member.
-enum FenceOutcome {
-    Fenced(Name, Fenced),
-    /// The member is primary, but not the one to be replaced.
-    IsPrimary,
-    /// Another member answers at its address, since recently: this one has probably
-    /// restarted under a new id.
-    Restarted,
-    NotFenced,
-}
-
-/// Whether the plan still holds, as a round of fencing has shown.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PlanState {
-    Current,
-    /// A member has restarted under an id that the plan does not know.
-    MemberRestarted,
-    /// Another member is primary already.
-    Outdated,
-}
-
-/// Fences all members that are not fenced yet, in parallel.
-async fn fence(plan: &TakeoverPlan, fenced: &mut BTreeMap<Name, Fenced>) -> PlanState {
-    let unfenced = plan.members.iter();
-    let unfenced = unfenced.filter(|m| !fenced.contains_key(&m.target.member));
-    let outcomes = join_all(unfenced.map(|m| fence_member(plan, m))).await;
-    let mut state = PlanState::Current;
-    for outcome in outcomes {
-        match outcome {
-            FenceOutcome::Fenced(member, answer) => {
-                fenced.insert(member, answer);
-            }
-            FenceOutcome::IsPrimary => return PlanState::Outdated,
-            FenceOutcome::Restarted => state = PlanState::MemberRestarted,
-            FenceOutcome::NotFenced => {}
+        if members.len() != self.members.len() {
+            decision!(
+                "takeover", service = &*self.context.service,
+                before = self.members.len(), members = members.len(); "members refreshed"
+            );
         }
+        self.members = members;
+        attempt.update_members(self.attempt_members());
     }
-    state
 }
 
-async fn fence_member(plan: &TakeoverPlan, group_member: &GroupMember) -> FenceOutcome {
-    let term = plan.term;
-    let order = match group_member.is_primary {
-        true => MemberRequest::StepDown { term },
-        false => MemberRequest::Fence { term },
+/// Orders the primary to step down, unless it has; then asks the other members for
+/// their positions, or fences them if the primary has not answered in time.
+async fn fence(
+    plan: &TakeoverPlan,
+    attempt: &Attempt,
+    orders: &Orders,
+) -> BTreeMap<Name, OrderAnswer> {
+    let primary = plan.members.iter().find(|m| m.is_primary);
+    let Some(primary) = primary.filter(|_| !attempt.has_stepped_down()) else {
+        return order_others(plan, orders, attempt.has_stepped_down()).await;
     };
-    let member = &group_member.target.member;
-    let report = match order_member(plan, &group_member.target, &order).await {
-        Ok(report) => report,
-        Err(error) => {
-            decision!(
-                "takeover", service = &*plan.context.service, member = &**member,
-                reason = error.to_string(); "member not reached"
-            );
-            let is_wrong_member = matches!(
-                error,
-                RelayError::Refused {
-                    class: ErrorClass::WrongMember
-                }
-            );
-            return match is_wrong_member && !group_member.is_displaced {
-                true => FenceOutcome::Restarted,
-                false => FenceOutcome::NotFenced,
-            };
+    let order = MemberRequest::StepDown { term: plan.term };
+    let mut step_down = std::pin::pin!(order_member(plan, orders, primary, &order));
+    let first = compio::time::timeout(HEAD_START, step_down.as_mut()).await;
+    let (answer, mut answers) = match first {
+        Ok(answer) => {
+            let has_stepped_down = matches!(answer, OrderAnswer::Fenced { .. });
+            (answer, order_others(plan, orders, has_stepped_down).await)
         }
+        Err(_) => join(step_down, order_others(plan, orders, false)).await,
     };
-    if is_fenced(plan, group_member, &report) {
-        let received = report.received;
-        decision!(
-            "takeover", service = &*plan.context.service, member = &**member,
-            role = report.role.to_string(), received = received.to_string(),
-            held_term = report.held_term, term = plan.term; "member fenced"
-        );
-        return FenceOutcome::Fenced(member.clone(), Fenced { received });
-    }
-    decision!(
-        "takeover", service = &*plan.context.service, member = &**member,
-        report = format!("{report:?}"); "member not fenced"
-    );
-    match report.role == Role::Primary && !group_member.is_primary {
-        true => FenceOutcome::IsPrimary,
-        false => FenceOutcome::NotFenced,
-    }
+    answers.insert(primary.target.member.clone(), answer);
+    answers
 }
 
-/// The primary is fenced once it has stepped down to a replica, a replica once it
-/// has stopped receiving. A replica that turns out to be primary is not fenced.
-fn is_fenced(plan: &TakeoverPlan, group_member: &GroupMember, report: &StatusReport) -> bool {
-    if report.role == Role::Primary {
-        return false;
-    }
-    group_member.is_primary || report.held_term >= plan.term
+/// Checks right before an order that what was chosen by still holds.
+async fn check_fences(
+    plan: &TakeoverPlan,
+    attempt: &Attempt,
+    orders: &Orders,
+) -> BTreeMap<Name, OrderAnswer> {
+    order_others(plan, orders, attempt.has_stepped_down()).await
 }
 
-fn candidates(
+/// Fences all members but the primary, or asks them for their positions, in parallel.
+async fn order_others(
     plan: &TakeoverPlan,
-    fenced: &BTreeMap<Name, Fenced>,
-    refused: &BTreeSet<Name>,
-) -> Vec<Candidate> {
-    let members = plan.members.iter().map(|group_member| {
-        let member = &group_member.target.member;
-        let is_refused = refused.contains(member);
-        Candidate {
-            member: member.clone(),
-            is_primary: group_member.is_primary,
-            is_leaving: group_member.is_leaving || is_refused,
-            is_gone: group_member.is_gone,
-            fenced: fenced.get(member).copied().filter(|_| !is_refused),
-        }
+    orders: &Orders,
+    only_asks: bool,
+) -> BTreeMap<Name, OrderAnswer> {
+    let others = plan.members.iter().filter(|m| !m.is_primary);
+    let answers = others.map(|m| async move {
+        let order = match only_asks {
+            true => MemberRequest::Status,
+            false => MemberRequest::Fence { term: plan.term },
+        };
+        let answer = order_member(plan, orders, m, &order).await;
+        (m.target.member.clone(), answer)
     });
-    members.collect()
+    join_all(answers).await.into_iter().collect()
 }
 
 async fn order_member(
     plan: &TakeoverPlan,
-    target: &Target,
+    orders: &Orders,
+    group_member: &GroupMember,
     order: &MemberRequest<'_>,
-) -> Result<StatusReport> {
-    let codec: MemberCodec = plan.context.options.codecs.member;
-    let call = async {
-        // These connections are few and short-lived, so they are not counted.
-        let permit = Permit::new(|| {});
-        let mut connection = open(target.clone(), codec, permit).await?;
-        let report = exchange::request_report(&mut connection, &codec, order).await?;
-        report.map_err(|class| RelayError::Refused { class })
-    };
-    let answered = compio::time::timeout(ORDER_TIMEOUT, call).await;
-    answered.unwrap_or(Err(RelayError::Timeout))
+) -> OrderAnswer {
+    let report = orders.send(&group_member.target, order).await;
+    let answer = answer(plan, group_member, &report);
+    let member = &*group_member.target.member;
+    match &report {
+        Ok(report) => decision!(
+            "takeover", service = &*plan.context.service, member = member,
+            role = report.role.to_string(), received = report.received.to_string(),
+            held_term = report.held_term, term = plan.term, answer = format!("{answer:?}");
+            "member answered"
+        ),
+        Err(error) => decision!(
+            "takeover", service = &*plan.context.service, member = member,
+            reason = error.to_string(), answer = format!("{answer:?}"); "member not reached"
+        ),
+    }
+    answer
 }
 
-async fn promote(plan: &TakeoverPlan, claim: &Claim, member: &Name) -> PromoteOutcome {
+/// What a member's report, or the lack of one, says about its fence.
+fn answer(
+    plan: &TakeoverPlan,
+    group_member: &GroupMember,
+    report: &Result<StatusReport>,
+) -> OrderAnswer {
+    let is_primary = group_member.is_primary;
+    match report {
+        Ok(report) if report.role == Role::Primary => match is_primary {
+            true => OrderAnswer::NotSteppedDown,
+            false => OrderAnswer::Leads,
+        },
+        Ok(report) if is_primary || report.held_term >= plan.term => OrderAnswer::Fenced {
+            received: report.received,
+        },
+        Ok(report) => OrderAnswer::Receiving {
+            received: report.received,
+        },
+        Err(RelayError::Refused {
+            class: ErrorClass::WrongMember,
+        }) => match group_member.is_displaced {
+            true => OrderAnswer::Lost,
+            false => OrderAnswer::Restarted,
+        },
+        Err(RelayError::Closed | RelayError::Io(_)) => OrderAnswer::Lost,
+        Err(_) => OrderAnswer::Silent,
+    }
+}
+
+async fn promote(
+    plan: &TakeoverPlan,
+    claim: &Claim,
+    member: &Name,
+    send_until_ms: u64,
+) -> PromoteOutcome {
     let promotion = Promotion {
         service: plan.context.service.clone(),
         member: member.clone(),
         fence: claim.fence,
+        send_until_ms,
     };
     let outcome = (plan.context.options.authority.promote)(promotion).await;
     let labels = [
@@ -345,32 +319,32 @@
     outcome
 }
 
-/// Waits until the member reports that it is primary.
-async fn await_leadership(plan: &TakeoverPlan, member: &Name, started_ms: u64) {
+/// Whether the promoted member reports that it is primary. Pauses if not.
+async fn leads(plan: &TakeoverPlan, orders: &Orders, member: &Name) -> bool {
     let group_member = plan.members.iter().find(|m| m.target.member == *member);
-    let Some(group_member) = group_member else {
-        return;
-    };
-    while clock::boot_ms() < started_ms + LEADERSHIP_MS {
-        let report = order_member(plan, &group_member.target, &MemberRequest::Status).await;
+    if let Some(group_member) = group_member {
+        let report = orders
+            .send(&group_member.target, &MemberRequest::Status)
+            .await;
         if let Ok(report) = report
             && report.role == Role::Primary
         {
-            return decision!(
+            decision!(
                 "takeover", service = &*plan.context.service, member = &**member,
                 term = report.term, received = report.received.to_string();
                 "promoted member leads"
             );
+            return true;
         }
-        let pause_ms = rand::rng().random_range(20..60);
-        compio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
+    let pause_ms = rand::rng().random_range(20..60);
+    compio::time::sleep(Duration::from_millis(pause_ms)).await;
+    false
 }
 
-/// Lets the replicas receive again. Shortly before the claim expires this is left
-/// to the next attempt, which may already have fenced them.
-async fn resume(plan: &TakeoverPlan, started_ms: u64) {
-    if clock::boot_ms() >= started_ms + RESUME_MS {
+/// Lets the replicas receive again.
+async fn resume(plan: &TakeoverPlan, attempt: &Attempt, orders: &Orders) {
+    if !attempt.may_resume(clock::boot_ms()) {
         decision!(
             "takeover", service = &*plan.context.service;
             "claim about to expire; replicas not resumed"
@@ -378,8 +352,8 @@
         return;
     }
     let replicas = plan.members.iter().filter(|m| !m.is_primary && !m.is_gone);
-    let orders = replicas.map(|m| async move {
-        let result = order_member(plan, &m.target, &MemberRequest::Resume).await;
+    let resumed = replicas.map(|m| async move {
+        let result = orders.send(&m.target, &MemberRequest::Resume).await;
         let member = &*m.target.member;
         match result {
             Ok(report) => decision!(
@@ -393,5 +367,5 @@
             ),
         }
     });
-    join_all(orders).await;
+    join_all(resumed).await;
 }
