--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -81,8 +81,8 @@
 /// What an attempt does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Order the primary to step down, unless it has; if it has, ask the other members
-    /// for their positions, else order them to stop receiving.
+    /// Order the primary to step down, directly and through other VMs, unless it has; if it
+    /// has, ask the other members for their positions, else order them to stop receiving.
     Fence,
     /// Wait before the next round.
     Pause,
--- a/src/relay/codec.rs
+++ b/src/relay/codec.rs
@@ -145,6 +145,11 @@
     Reset,
     /// Requests the member's report.
     Status,
+    /// Demotes the member, if it is a primary of a lower term, to a replica.
+    StepDown {
+        /// The term.
+        term: u64,
+    },
     /// Begins a transaction.
     Begin {
         /// Position that the member's log must have reached.
--- a/src/relay/forward/session.rs
+++ b/src/relay/forward/session.rs
@@ -90,6 +90,7 @@
                 self.write_complete(output);
             }
             ForwardMessage::Status => return Ok(self.report(output).await),
+            ForwardMessage::StepDown { term } => self.step_down(term, output).await,
             ForwardMessage::Rollback => {
                 if let Some(connection) = self.connection.take() {
                     self.release(connection, true, None);
@@ -162,6 +163,24 @@
         true
     }
 
+    /// Orders the member to step down and writes its report.
+    async fn step_down(&self, term: u64, output: &mut BytesMut) {
+        let (reply, report) = oneshot::channel();
+        let message = ServiceMessage::StepDown {
+            member: self.member.clone(),
+            term,
+            reply,
+        };
+        self.shared.send(&self.service, message);
+        match report.await {
+            Ok(report) => self.write_report(&report, output),
+            Err(_) => {
+                let text = "this VM does not reach the member";
+                self.write_error(ErrorClass::Busy, text, output);
+            }
+        }
+    }
+
     async fn begin(
         &mut self,
         after: Option<Position>,
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -337,6 +337,11 @@
         self.paths[0] == MemberPath::Direct
     }
 
+    /// Paths to it, best first.
+    pub fn paths(&self) -> &[MemberPath] {
+        &self.paths
+    }
+
     /// The path in use.
     pub fn path(&self) -> &MemberPath {
         &self.paths[self.path]
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -169,6 +169,15 @@
         /// Channel for the answer.
         reply: oneshot::Sender<std::result::Result<StatusReport, ReportError>>,
     },
+    /// Another VM that replaces the primary orders a member to step down.
+    StepDown {
+        /// Id of the member.
+        member: Name,
+        /// Term of the replacement.
+        term: u64,
+        /// Channel for the member's report; dropped when it does not answer.
+        reply: oneshot::Sender<StatusReport>,
+    },
     /// Check that no other member has taken over from the primary.
     CheckLeadership {
         /// Member that this VM takes for the primary.
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -241,6 +241,11 @@
                 promoted,
                 has_failed_to_order,
             } => self.takeover_ended(promoted, has_failed_to_order),
+            ServiceMessage::StepDown {
+                member,
+                term,
+                reply,
+            } => self.step_down(&member, term, reply),
         }
     }
 
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -1,14 +1,14 @@
 //! Monitoring of the primary, and the start of takeovers.
 
-use rand::Rng;
+use rand::{Rng, seq::SliceRandom};
 
 use super::*;
 use crate::{
     decide::takeover::{PrimaryHealth, TakeoverSettings, replacement_reason},
     relay::{
-        StatusReport,
+        MemberRequest, StatusReport,
         member::GONE_MS,
-        takeover::{self, GroupMember, TakeoverPlan},
+        takeover::{self, GroupMember, TakeoverPlan, orders::Orders},
     },
 };
 
@@ -33,6 +33,8 @@
 /// The same after one in which this VM could not give an order, or got no answer that
 /// settles it, in milliseconds: once the claim has ended, another VM goes first.
 const FAILED_ORDER_COOLDOWN_MS: u64 = 3_000;
+/// Most VMs that are asked at a time to make a primary step down.
+const RELAYED_MAX: usize = 24;
 /// Time after which a member that is missing from the list is removed, in
 /// milliseconds.
 pub(super) const MEMBER_RETENTION_MS: u64 = 60_000;
@@ -204,6 +206,8 @@
         let plan = TakeoverPlan {
             context: self.context.clone(),
             members: self.group_members(),
+            relayed: self.relayed_targets(),
+            is_primary_silent: health.failures > 0,
             term: highest.unwrap_or(0) + 1,
             knows_departed: self.knows_departed(clock::boot_ms()),
             reason,
@@ -212,6 +216,65 @@
         compio::runtime::spawn(takeover::run(plan)).detach();
     }
 
+    /// Paths to the primary through other VMs: those of the VMs that are to connect to it
+    /// first, the others in random order.
+    fn relayed_targets(&self) -> Vec<Target> {
+        let Some(primary) = &self.primary else {
+            return Vec::new();
+        };
+        let known = self.members.get(primary).map(Member::paths);
+        let known = known.into_iter().flatten().cloned();
+        let mut others: Vec<MemberPath> = self
+            .vms
+            .addresses
+            .keys()
+            .cloned()
+            .map(MemberPath::Through)
+            .collect();
+        others.shuffle(&mut rand::rng());
+        let mut paths: Vec<MemberPath> = Vec::new();
+        for path in known.chain(others) {
+            let is_own = path.through() == &*self.context.options.vm;
+            if path != MemberPath::Direct && !is_own && !paths.contains(&path) {
+                paths.push(path);
+            }
+        }
+        let paths = paths.into_iter().take(RELAYED_MAX);
+        paths
+            .filter_map(|path| self.target_by(primary, &path))
+            .collect()
+    }
+
+    /// Orders a member to step down, for another VM that replaces it.
+    pub(super) fn step_down(&mut self, id: &Name, term: u64, reply: oneshot::Sender<StatusReport>) {
+        let Some(target) = self.target_by(id, &MemberPath::Direct) else {
+            return;
+        };
+        let context = self.context.clone();
+        compio::runtime::spawn(async move {
+            let orders = Orders::new(context.clone());
+            let order = MemberRequest::StepDown { term };
+            let report = orders.send(&target, &order).await;
+            let text = match &report {
+                Ok(report) => report.role.to_string(),
+                Err(error) => error.to_string(),
+            };
+            decision!(
+                "takeover", service = &*context.service, member = &*target.member,
+                term = term, outcome = text; "ordered to step down for another VM"
+            );
+            if let Ok(report) = report {
+                if report.role == Role::Replica {
+                    let member = target.member.clone();
+                    context.send(ServiceMessage::NotPrimary { member });
+                }
+                // The other VM may have given up.
+                let _ = reply.send(report);
+            }
+        })
+        .detach();
+    }
+
     pub(super) fn takeover_ended(&mut self, promoted: Option<Name>, has_failed_to_order: bool) {
         let now_ms = clock::boot_ms();
         let pause_ms = match has_failed_to_order {
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -1,7 +1,8 @@
 //! One attempt at a takeover, the replacement of a primary: claim the right, fence
 //! the members, choose a successor, promote it. [`Attempt`] decides each step.
 
-mod orders;
+pub mod orders;
+mod step_down;
 
 use futures::{
     channel::oneshot,
@@ -54,6 +55,10 @@
     pub context: ServiceContext,
     /// Members of the group.
     pub members: Vec<GroupMember>,
+    /// Paths to the primary through other VMs, those that most likely reach it first.
+    pub relayed: Vec<Target>,
+    /// Whether the primary has not answered this VM's last probe.
+    pub is_primary_silent: bool,
     /// Term that the members are fenced for.
     pub term: u64,
     /// Whether this VM knows of members that left the list and may come back.
@@ -200,8 +205,7 @@
     let Some(primary) = primary.filter(|_| !attempt.has_stepped_down()) else {
         return order_others(plan, orders, attempt.has_stepped_down()).await;
     };
-    let order = MemberRequest::StepDown { term: plan.term };
-    let mut step_down = std::pin::pin!(order_member(plan, orders, primary, &order));
+    let mut step_down = std::pin::pin!(step_down::order(plan, orders, primary));
     let first = compio::time::timeout(HEAD_START, step_down.as_mut()).await;
     let (answer, mut answers) = match first {
         Ok(answer) => {
