--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -7,7 +7,7 @@
 //! receiving.
 
 use crate::{
-    decide::takeover::{Candidate, Choice, Fenced, Reason, WaitReason, choose},
+    decide::takeover::{Candidate, Choice, Fenced, Knowledge, Reason, choose},
     prelude::*,
 };
 
@@ -25,6 +25,13 @@
 /// The same when a member has restarted under an id that is not known yet: it may
 /// hold commits that the others lack, and is listed within about a second.
 const RESTART_MS: u64 = 1_200;
+/// Time within which a member that receives is listed, in milliseconds, while the store
+/// answers.
+pub const LISTING_MS: u64 = 300;
+/// Time within which all members are listed again after the store was away, in
+/// milliseconds.
+const RETURN_MS: u64 = 2_500;
+
 /// A member of the group, as an attempt knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AttemptMember {
@@ -64,6 +71,28 @@
     Silent,
 }
 
+/// A reading of the member list from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListRead {
+    /// Time at which the list was asked for, in milliseconds.
+    pub asked_ms: u64,
+    /// Time since the store is known to have been away, in milliseconds; `None` if it
+    /// is not known to have been away.
+    pub back_ms: Option<u64>,
+}
+
+impl ListRead {
+    /// Whether every member is listed that has received a commit by `since_ms`.
+    pub fn is_complete(&self, since_ms: u64) -> bool {
+        self.asked_ms >= since_ms + LISTING_MS && self.has_settled()
+    }
+
+    /// Whether the members that an outage of the store kept from the list are back.
+    fn has_settled(&self) -> bool {
+        self.back_ms.is_none_or(|back_ms| back_ms >= RETURN_MS)
+    }
+}
+
 /// Outcome of an order to promote a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -81,12 +110,18 @@
 /// What an attempt does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Order the primary to step down, directly and through other VMs, unless it has; if it
-    /// has, ask the other members for their positions, else order them to stop receiving.
+    /// Read the member list. Order the primary to step down, directly and through other
+    /// VMs, unless it has; if it has, ask the other members for their positions, else
+    /// order them to stop receiving.
     Fence,
     /// Wait before the next round.
     Pause,
-    /// Record the order where it lasts, and check the fences again.
+    /// Wait until a member that received before the others were fenced is listed.
+    Settle {
+        /// End of the wait, in milliseconds.
+        until_ms: u64,
+    },
+    /// Record the order where it lasts; read the member list and check the fences again.
     Prepare {
         /// Member to be promoted.
         member: Name,
@@ -118,9 +153,11 @@
     /// Position of the primary and time of its answer, once it has stepped down.
     stepped_down: Option<(Position, u64)>,
     /// Positions of the other members that are fenced, or that have answered after
-    /// the primary had stepped down.
-    positions: BTreeMap<Name, Position>,
+    /// the primary had stepped down, and times of their first such answers.
+    positions: BTreeMap<Name, (Position, u64)>,
     refused: BTreeSet<Name>,
+    /// The member list, as last read in this attempt.
+    list: Option<ListRead>,
     has_restarted: bool,
     step: Step,
     is_order_unsent: bool,
@@ -144,6 +181,7 @@
             stepped_down: None,
             positions: BTreeMap::new(),
             refused: BTreeSet::new(),
+            list: None,
             has_restarted: false,
             step: match reason {
                 Reason::Unfinished => Step::Resume,
@@ -199,7 +237,7 @@
             let is_refused = self.refused.contains(&m.member);
             let position = match m.is_primary {
                 true => self.stepped_down.map(|(position, _)| position),
-                false => self.positions.get(&m.member).copied(),
+                false => self.positions.get(&m.member).map(|(position, _)| *position),
             };
             let fenced = position.map(|received| Fenced { received });
             Candidate {
@@ -215,11 +253,49 @@
 
     /// The successor, as far as one can be chosen by what is known.
     pub fn choice(&self) -> Choice {
-        choose(&self.candidates(), self.knows_departed)
+        let knowledge = Knowledge {
+            knows_departed: self.knows_departed,
+            is_list_complete: self.is_list_complete(),
+        };
+        choose(&self.candidates(), knowledge)
+    }
+
+    /// Time since which nothing can be acknowledged, as far as the listed members are
+    /// known to be the only ones, in milliseconds.
+    fn quiet_since_ms(&self) -> u64 {
+        let fenced_ms = self.positions.values().map(|(_, at_ms)| *at_ms);
+        match self.stepped_down {
+            Some((_, at_ms)) => at_ms,
+            None => fenced_ms.max().unwrap_or(0),
+        }
+    }
+
+    /// Whether every member that may have received an acknowledged commit is listed.
+    fn is_list_complete(&self) -> bool {
+        let since_ms = self.quiet_since_ms();
+        self.list.is_some_and(|list| list.is_complete(since_ms))
+    }
+
+    /// Like [`Attempt::choice`], provided that no further member is listed meanwhile.
+    fn choice_by_list(&self) -> Choice {
+        let knowledge = Knowledge {
+            knows_departed: self.knows_departed,
+            is_list_complete: match self.stepped_down {
+                Some(_) => self.is_list_complete(),
+                None => self.list.is_some_and(|list| list.has_settled()),
+            },
+        };
+        choose(&self.candidates(), knowledge)
     }
 
     /// Records the end of [`Step::Fence`].
-    pub fn fenced(&mut self, answers: &BTreeMap<Name, OrderAnswer>, now_ms: u64) {
+    pub fn fenced(
+        &mut self,
+        answers: &BTreeMap<Name, OrderAnswer>,
+        list: Option<ListRead>,
+        now_ms: u64,
+    ) {
+        self.list = list;
         self.has_restarted = false;
         if self.record_answers(answers, now_ms) {
             self.step = Step::Resume;
@@ -246,11 +322,9 @@
                 continue;
             }
             match *answer {
-                OrderAnswer::Fenced { received } => {
-                    self.positions.insert(member.clone(), received);
-                }
+                OrderAnswer::Fenced { received } => self.record(member, received, now_ms),
                 OrderAnswer::Receiving { received } if self.stepped_down.is_some() => {
-                    self.positions.insert(member.clone(), received);
+                    self.record(member, received, now_ms);
                 }
                 OrderAnswer::Leads => is_replaced = true,
                 OrderAnswer::Receiving { .. } | OrderAnswer::Restarted | OrderAnswer::Lost => {
@@ -262,12 +336,17 @@
         is_replaced
     }
 
+    fn record(&mut self, member: &Name, received: Position, now_ms: u64) {
+        let position = self.positions.entry(member.clone());
+        position.or_insert((received, now_ms)).0 = received;
+    }
+
     /// The step after a round.
     fn weigh(&self, now_ms: u64) -> Step {
         if now_ms >= self.started_ms + ATTEMPT_MS {
             return Step::Resume;
         }
-        let Choice::Promote(member) = self.choice() else {
+        let Choice::Promote(member) = self.choice_by_list() else {
             return Step::Pause;
         };
         let catch_up_ms = match self.has_restarted {
@@ -278,10 +357,23 @@
         let is_primary = |m: &AttemptMember| m.is_primary && m.member == member;
         match self.members.iter().any(is_primary) && self.stepped_down.is_some_and(is_early) {
             true => Step::Pause,
+            false => self.prepare(member, now_ms),
+        }
+    }
+
+    fn prepare(&self, member: Name, now_ms: u64) -> Step {
+        let until_ms = self.quiet_since_ms() + LISTING_MS;
+        match self.stepped_down.is_none() && now_ms < until_ms {
+            true => Step::Settle { until_ms },
             false => Step::Prepare { member },
         }
     }
 
+    /// Records the end of [`Step::Settle`].
+    pub fn settled(&mut self, now_ms: u64) {
+        self.step = self.weigh(now_ms);
+    }
+
     /// Records the end of [`Step::Pause`].
     pub fn paused(&mut self, now_ms: u64) {
         self.step = match now_ms >= self.started_ms + ATTEMPT_MS {
@@ -291,17 +383,19 @@
     }
 
     /// Records the end of [`Step::Prepare`]: whether the order is recorded, what the
-    /// members have answered.
+    /// members have answered and the list, read again.
     pub fn prepared(
         &mut self,
         is_recorded: bool,
         answers: &BTreeMap<Name, OrderAnswer>,
+        list: Option<ListRead>,
         now_ms: u64,
     ) {
         let Step::Prepare { member } = &self.step else {
             return;
         };
         let member = member.clone();
+        self.list = list;
         if self.record_answers(answers, now_ms) {
             self.step = Step::Resume;
             return;
@@ -368,12 +462,4 @@
     pub fn resumed(&mut self) {
         self.step = Step::End;
     }
-
-    /// Why no successor is chosen yet, for logs.
-    pub fn wait_reason(&self) -> Option<WaitReason> {
-        match self.choice() {
-            Choice::Wait(reason) => Some(reason),
-            Choice::Promote(_) => None,
-        }
-    }
 }
--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -48,46 +48,54 @@
     /// The primary may still acknowledge commits with a member that did not
     /// answer.
     PrimaryMayAcknowledge,
-    /// The members that answered lack commits that the primary may have
-    /// acknowledged.
-    ReplicasBehind,
+    /// A member that may have received commits may not be listed yet.
+    ListIncomplete,
+}
+
+/// What the VM that chooses knows besides the members' answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Knowledge {
+    /// Whether it has known the group for so long that it would know of a member that
+    /// left the list and may come back.
+    pub knows_departed: bool,
+    /// Whether every member that may have received commits is listed.
+    pub is_list_complete: bool,
 }
 
 /// Chooses the successor by the answers of the members.
 ///
-/// - If the primary stepped down, its log has every acknowledged commit.
-///   Another member that is as advanced is chosen, otherwise the primary
-///   itself. If all the others answered, the most advanced of them is chosen,
-///   because a commit that none of them received was never acknowledged.
-/// - If the primary did not answer, all the others must have answered or be
-///   gone. That takes a VM that has known the group for so long that it would know of
-///   a member that left the list and may come back (`knows_departed`).
-pub fn choose(candidates: &[Candidate], knows_departed: bool) -> Choice {
+/// - If the primary stepped down, its log has every acknowledged commit. Another member
+///   that is as advanced is chosen. Otherwise the most advanced one is, provided that
+///   all have answered and are listed, because a commit that none of them received was
+///   never acknowledged. Otherwise the primary itself is.
+/// - If the primary did not answer, all the others must be listed, and must have answered
+///   or be gone.
+pub fn choose(candidates: &[Candidate], knowledge: Knowledge) -> Choice {
     let others = || candidates.iter().filter(|c| !c.is_primary);
     let answered = || others().filter(|c| c.fenced.is_some());
-    let all_answered = knows_departed && others().all(|c| c.fenced.is_some() || c.is_gone);
+    let all_answered =
+        knowledge.knows_departed && others().all(|c| c.fenced.is_some() || c.is_gone);
+    let knows_all = all_answered && knowledge.is_list_complete;
     let primary = candidates.iter().find(|c| c.is_primary);
     let primary_fenced = primary.and_then(|p| p.fenced);
     let best = answered().max_by_key(|c| (c.fenced.map(received), !c.is_leaving));
     let Some(best) = best else {
         return match (primary, primary_fenced) {
-            (Some(primary), Some(_)) if !all_answered || others().next().is_none() => {
+            (Some(primary), Some(_)) if !knows_all || others().next().is_none() => {
                 Choice::Promote(primary.member.clone())
             }
             _ => Choice::Wait(WaitReason::NobodyFenced),
         };
     };
-    if all_answered {
+    let is_as_advanced = primary_fenced
+        .is_some_and(|at_primary| best.fenced.map(received) >= Some(at_primary.received));
+    if knows_all || is_as_advanced {
         return Choice::Promote(prefer_staying(candidates, best, primary_fenced));
     }
-    let Some(at_primary) = primary_fenced else {
-        return Choice::Wait(WaitReason::PrimaryMayAcknowledge);
-    };
-    let is_as_advanced = best.fenced.map(received) >= Some(at_primary.received);
-    match (is_as_advanced, primary) {
-        (true, _) => Choice::Promote(best.member.clone()),
-        (false, Some(primary)) => Choice::Promote(primary.member.clone()),
-        (false, None) => Choice::Wait(WaitReason::ReplicasBehind),
+    match (primary, primary_fenced) {
+        (Some(primary), Some(_)) => Choice::Promote(primary.member.clone()),
+        _ if all_answered => Choice::Wait(WaitReason::ListIncomplete),
+        _ => Choice::Wait(WaitReason::PrimaryMayAcknowledge),
     }
 }
 
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -5,7 +5,7 @@
 use futures::future::LocalBoxFuture;
 
 use super::Codecs;
-pub use crate::decide::attempt::PromoteOutcome;
+pub use crate::decide::attempt::{ListRead, PromoteOutcome};
 use crate::{news::FloorListener, prelude::*};
 
 /// Temporary right of one VM to replace the primary of a service.
@@ -41,6 +41,8 @@
     /// the fence of that order; `None` when the claim is lost or the platform does not
     /// answer.
     pub record_order: Rc<dyn Fn(Name, Claim, Name) -> LocalBoxFuture<'static, Option<Claim>>>,
+    /// Reads the member list and applies it; `None` when the platform does not answer.
+    pub read_members: Rc<dyn Fn() -> LocalBoxFuture<'static, Option<ListRead>>>,
     /// Gives up the claim.
     pub release: Rc<dyn Fn(Name, Claim) -> LocalBoxFuture<'static, ()>>,
     /// Orders a promotion.
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -6,14 +6,14 @@
 
 use futures::{
     channel::oneshot,
-    future::{join, join_all},
+    future::{join, join_all, join3},
 };
 use rand::Rng;
 
 use self::orders::Orders;
 use super::{
-    Claim, ErrorClass, MemberRequest, PromoteOutcome, Promotion, RelayError, Result, StatusReport,
-    message::ServiceMessage, open::Target, service::ServiceContext,
+    Claim, ErrorClass, ListRead, MemberRequest, PromoteOutcome, Promotion, RelayError, Result,
+    StatusReport, message::ServiceMessage, open::Target, service::ServiceContext,
 };
 use crate::{
     clock,
@@ -115,14 +115,15 @@
     loop {
         match attempt.step().clone() {
             Step::Fence => {
-                let answers = fence(plan, attempt, &orders).await;
+                let fencing = fence(plan, attempt, &orders);
+                let (answers, list) = join(fencing, plan.read_list()).await;
                 plan.refresh_members(attempt).await;
                 let now_ms = clock::boot_ms();
-                attempt.fenced(&answers, now_ms);
+                attempt.fenced(&answers, list, now_ms);
                 decision!(
                     "takeover", service = &*plan.context.service, fence = claim.fence,
                     term = plan.term, choice = format!("{:?}", attempt.choice()),
-                    members = format!("{:?}", attempt.candidates());
+                    list = format!("{list:?}"), members = format!("{:?}", attempt.candidates());
                     "successor weighed"
                 );
             }
@@ -130,16 +131,21 @@
                 compio::time::sleep(ROUND_PAUSE).await;
                 attempt.paused(clock::boot_ms());
             }
+            Step::Settle { until_ms } => {
+                let left_ms = until_ms.saturating_sub(clock::boot_ms());
+                compio::time::sleep(Duration::from_millis(left_ms)).await;
+                attempt.settled(clock::boot_ms());
+            }
             Step::Prepare { member } => {
                 let service = plan.context.service.clone();
                 let authority = &plan.context.options.authority;
                 let record = (authority.record_order)(service, claim.clone(), member);
                 let fencing = check_fences(plan, attempt, &orders);
-                let (recorded, answers) = join(record, fencing).await;
+                let (recorded, answers, list) = join3(record, fencing, plan.read_list()).await;
                 let is_recorded = recorded.is_some();
                 claim = recorded.unwrap_or(claim);
                 plan.refresh_members(attempt).await;
-                attempt.prepared(is_recorded, &answers, clock::boot_ms());
+                attempt.prepared(is_recorded, &answers, list, clock::boot_ms());
             }
             Step::Promote { member } => {
                 let outcome = promote(plan, &claim, &member, started_ms + ATTEMPT_MS).await;
@@ -170,6 +176,10 @@
         members.collect()
     }
 
+    async fn read_list(&self) -> Option<ListRead> {
+        (self.context.options.authority.read_members)().await
+    }
+
     /// Replaces the members by those that the service knows now. The primary to be
     /// replaced stays the same.
     async fn refresh_members(&mut self, attempt: &mut Attempt) {
--- a/tests/decide_relay.rs
+++ b/tests/decide_relay.rs
@@ -17,8 +17,8 @@
         },
         retry::Backoff,
         takeover::{
-            Candidate, Choice, Fenced, PrimaryHealth, Reason, StuckCommit, TakeoverSettings,
-            WaitReason, choose, replacement_reason,
+            Candidate, Choice, Fenced, Knowledge, PrimaryHealth, Reason, StuckCommit,
+            TakeoverSettings, WaitReason, choose, replacement_reason,
         },
         window::Window,
     },
@@ -247,6 +247,11 @@
     Choice::Promote(name.into())
 }
 
+const KNOWS_ALL: Knowledge = Knowledge {
+    knows_departed: true,
+    is_list_complete: true,
+};
+
 const UNSAFE: Choice = Choice::Wait(WaitReason::PrimaryMayAcknowledge);
 
 #[parameterized(
@@ -274,7 +279,7 @@
     no_primary_is_known = { vec![other_member("a", fenced(5)), other_member("b", fenced(9))], promote("b") },
 )]
 fn successor(candidates: Vec<Candidate>, expected: Choice) {
-    assert_eq!(choose(&candidates, true), expected);
+    assert_eq!(choose(&candidates, KNOWS_ALL), expected);
 }
 
 /// A VM that may not know all members that can come back relies on the primary's
@@ -290,7 +295,11 @@
         vec![primary(fenced(9)), other_member("a", fenced(5)), other_member("b", fenced(7))], promote("primary") },
 )]
 fn successor_by_a_vm_that_has_just_started(candidates: Vec<Candidate>, expected: Choice) {
-    assert_eq!(choose(&candidates, false), expected);
+    let knowledge = Knowledge {
+        knows_departed: false,
+        ..KNOWS_ALL
+    };
+    assert_eq!(choose(&candidates, knowledge), expected);
 }
 
 const SETTINGS: TakeoverSettings = TakeoverSettings {
