--- a/src/relay/socket.rs
+++ b/src/relay/socket.rs
@@ -35,6 +35,16 @@
         })
     }
 
+    /// Discards what was not sent yet when the stream is closed: bytes that a partition
+    /// holds up do not arrive after it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stream is already closed.
+    pub fn reset_when_closed(&self) -> Result<()> {
+        Ok(self.stream.set_zero_linger()?)
+    }
+
     /// Another handle of the same stream, to write while this one is reading.
     pub fn writer(&self) -> TcpStream {
         self.stream.clone()
--- a/src/relay/takeover/orders.rs
+++ b/src/relay/takeover/orders.rs
@@ -15,7 +15,8 @@
 /// connection, and a full queue there.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Connections of one attempt to members.
+/// Connections of one attempt to members. An order that was given up must not be carried
+/// out later, so they are reset and not closed.
 pub struct Orders {
     context: ServiceContext,
     idle: RefCell<BTreeMap<Name, Connection>>,
@@ -60,6 +61,7 @@
         let codec = self.context.options.codecs.member;
         // These connections are few and short-lived, so they are not counted.
         let connection = open(target.clone(), codec, Permit::new(|| {})).await?;
+        connection.socket.reset_when_closed()?;
         self.send_on(connection, target, order).await
     }
 
