--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -5,7 +5,7 @@
 use futures::channel::oneshot;
 
 use super::{
-    ErrorClass, MemberEntry, Result, ServiceConfig, StatusReport, Vms,
+    ErrorClass, ListRead, MemberEntry, Result, ServiceConfig, StatusReport, Vms,
     connection::{Connection, SessionVariables},
     takeover::GroupMember,
 };
@@ -230,6 +230,11 @@
     Vms(Rc<Vms>),
     /// The configuration of the service.
     Config(ServiceConfig),
+    /// The member list was read again, to find a floor by the replicas.
+    ListRead {
+        /// How; `None` when the platform did not answer.
+        list: Option<ListRead>,
+    },
     /// A takeover requests the current members of the group.
     GroupMembers {
         /// Channel for the answer.
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -16,7 +16,7 @@
 use futures::channel::oneshot;
 
 use super::{
-    ErrorClass, MemberEntry, RelayOptions, ServiceConfig, StatusReport, Vms,
+    ErrorClass, ListRead, MemberEntry, RelayOptions, ServiceConfig, StatusReport, Vms,
     connection::SessionVariables,
     member::Member,
     message::{Acquire, Freshness, Granted, Purpose, Refused, ReportError, ServiceMessage},
@@ -99,6 +99,10 @@
     leadership_checks: Vec<PendingLeadershipCheck>,
     pending_reports: Vec<PendingReport>,
     floor_refresh_since_us: Option<u64>,
+    /// The member list, as last read for a floor by the replicas.
+    list: Option<ListRead>,
+    /// Time before which it is not read again, in milliseconds.
+    next_list_read_ms: u64,
     ages: AgeTracker,
     /// Set while a commit at the primary is late.
     stuck_commit: Option<StuckCommit>,
@@ -154,6 +158,8 @@
         leadership_checks: Vec::new(),
         pending_reports: Vec::new(),
         floor_refresh_since_us: None,
+        list: None,
+        next_list_read_ms: 0,
         ages: AgeTracker::default(),
         stuck_commit: None,
         takeover: Takeover::Idle,
@@ -233,6 +239,9 @@
             ServiceMessage::Members { members } => self.change_members(members),
             ServiceMessage::Vms(vms) => self.change_vms(vms),
             ServiceMessage::Config(config) => self.change_config(config),
+            ServiceMessage::ListRead { list } => {
+                self.list = list.or(self.list);
+            }
             ServiceMessage::GroupMembers { reply } => {
                 // The attempt may have ended meanwhile.
                 let _ = reply.send(self.group_members());
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -3,6 +3,7 @@
 
 use super::{open_purpose::OpenPurpose, *};
 use crate::{
+    decide::attempt::LISTING_MS,
     decide::leadership::{
         LeadershipCheck, TermReport, check_leadership, members_to_ask, received_by_others,
         term_reports_needed,
@@ -22,6 +23,8 @@
 /// Time after which a leadership check asks all members, not only the nearest, in
 /// microseconds: more than a round trip to another region.
 const ASK_ALL_AFTER_US: u64 = 120_000;
+/// Pause between two readings of the member list for a floor, in milliseconds.
+const LIST_READ_PAUSE_MS: u64 = 200;
 /// Time after which a leadership check or a refresh of the floor is given up, in
 /// microseconds.
 const LEADERSHIP_CHECK_TIMEOUT_US: u64 = 600_000;
@@ -206,7 +209,10 @@
         let confirmed = confirmed.and_then(|primary| self.confirmed_position(primary, since_us));
         let found = match confirmed {
             Some(position) => Some((position, "primary")),
-            None => self.received_by_others(since_us).map(|p| (p, "replicas")),
+            None => self
+                .received_by_others(since_us)
+                .filter(|_| self.knows_members_of(since_us))
+                .map(|p| (p, "replicas")),
         };
         if let Some((position, source)) = found {
             self.raise_floor(since_us / 1_000, position, source);
@@ -244,6 +250,26 @@
         }
     }
 
+    /// Whether all members are listed that have received a commit by `since_us`. If not,
+    /// the list is read again.
+    fn knows_members_of(&mut self, since_us: u64) -> bool {
+        let since_ms = since_us / 1_000;
+        let now_ms = clock::boot_ms();
+        if self.list.is_some_and(|list| list.is_complete(since_ms)) {
+            return true;
+        }
+        if now_ms >= self.next_list_read_ms.max(since_ms + LISTING_MS) {
+            self.next_list_read_ms = now_ms + LIST_READ_PAUSE_MS;
+            let context = self.context.clone();
+            compio::runtime::spawn(async move {
+                let list = (context.options.authority.read_members)().await;
+                context.send(ServiceMessage::ListRead { list });
+            })
+            .detach();
+        }
+        false
+    }
+
     fn received_by_others(&self, since_us: u64) -> Option<Position> {
         let now_ms = clock::boot_ms();
         let others = self.members.iter();
