--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -184,8 +184,11 @@
         primary: Name,
         /// Time after which the others' probes must be sent, in microseconds.
         since_us: u64,
+        /// Whether it is for a commit that the primary has acknowledged: then members
+        /// that are too busy to report do not leave it undecided.
+        is_commit: bool,
         /// Channel for the highest term of the other members; `None` if too few
-        /// answered in time.
+        /// answered in time, or for a commit if another member leads.
         reply: oneshot::Sender<Option<u64>>,
     },
     /// All commits acknowledged before a time lie at or before a position.
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -73,6 +73,8 @@
 struct PendingLeadershipCheck {
     primary: Name,
     since_us: u64,
+    /// Whether it is for a commit that the primary has acknowledged.
+    is_commit: bool,
     reply: oneshot::Sender<Option<u64>>,
 }
 
@@ -219,10 +221,12 @@
             ServiceMessage::CheckLeadership {
                 primary,
                 since_us,
+                is_commit,
                 reply,
             } => self.leadership_checks.push(PendingLeadershipCheck {
                 primary,
                 since_us,
+                is_commit,
                 reply,
             }),
             ServiceMessage::Observed { since_ms, position } => {
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -128,12 +128,20 @@
             let leadership = self.leadership(&check.primary, check.since_us);
             let is_late = now_us >= check.since_us + LEADERSHIP_CHECK_TIMEOUT_US;
             match leadership {
+                LeadershipCheck::Confirmed { .. }
+                    if check.is_commit && self.is_replaced(&check.primary) =>
+                {
+                    let _ = check.reply.send(None);
+                }
                 LeadershipCheck::Confirmed { term } => {
                     // The caller may have disconnected.
                     let _ = check.reply.send(Some(term));
                 }
                 LeadershipCheck::Pending if is_late => {
-                    let _ = check.reply.send(None);
+                    let term = check
+                        .is_commit
+                        .then(|| self.term_of_answering(&check.primary));
+                    let _ = check.reply.send(term.flatten());
                 }
                 LeadershipCheck::Pending => {
                     self.request_confirmations(&check.primary, check.since_us);
@@ -161,6 +169,23 @@
         check_leadership(term_reports, since_us, self.reports_needed())
     }
 
+    /// Whether another member is known to lead.
+    fn is_replaced(&self, primary: &Name) -> bool {
+        let found = self.find_primary();
+        found.is_some_and(|found| found != *primary)
+    }
+
+    /// Highest term that was last reported by the other members; `None` if none of them
+    /// answers, not even that it is too busy for a report.
+    fn term_of_answering(&self, primary: &Name) -> Option<u64> {
+        let others = self.members.iter().filter(|(id, _)| *id != primary);
+        let answering = others.filter(|(_, m)| m.failures == 0);
+        let reports = answering.filter_map(|(_, m)| m.report);
+        reports
+            .map(|(_, report)| report.term.max(report.held_term))
+            .max()
+    }
+
     /// Requests reports of the members that are to confirm the primary.
     fn request_confirmations(&mut self, primary: &Name, since_us: u64) {
         let others: BTreeMap<Name, (u32, u32)> = self
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -24,6 +24,9 @@
 /// the rest is for running it.
 const CONNECTION_WAIT_SHARE: f64 = 0.75;
 
+/// Longest time for which an acknowledged commit waits while the other members are
+/// fenced or lead already, in milliseconds.
+const FENCED_COMMIT_MS: u64 = 2_500;
 /// Pause before a statement that was not run is retried: from about the time of
 /// one statement up to the time in which a queue drains.
 const BACKOFF: Backoff = Backoff {
@@ -142,12 +145,56 @@
         let message = ServiceMessage::CheckLeadership {
             primary: primary.clone(),
             since_us,
+            is_commit: false,
             reply,
         };
         self.send(service, message);
         leadership_check
     }
 
+    /// Whether a commit that `primary` has acknowledged may be told. A VM that replaces
+    /// the primary may not know the member that received it; but then it had fenced the
+    /// others before. Waits for up to `limit_ms` while they are fenced.
+    pub(super) async fn is_commit_kept(
+        &self,
+        service: &Name,
+        primary: &Name,
+        answer: &Answer,
+        limit_ms: u64,
+    ) -> bool {
+        let Some(position) = answer.position else {
+            return true;
+        };
+        if self.shared.sync_replicas(service) == 0 {
+            return true;
+        }
+        let until_ms = clock::boot_ms() + limit_ms.min(FENCED_COMMIT_MS);
+        loop {
+            let (reply, check) = oneshot::channel();
+            let message = ServiceMessage::CheckLeadership {
+                primary: primary.clone(),
+                since_us: clock::boot_us(),
+                is_commit: true,
+                reply,
+            };
+            self.send(service, message);
+            let others_term = check.await.ok().flatten();
+            if others_term.is_some_and(|term| term <= position.term) {
+                return true;
+            }
+            if others_term.is_none() || clock::boot_ms() >= until_ms {
+                decision!(
+                    "commit", service = &**service, member = &**primary,
+                    position = position.to_string(),
+                    others_term = others_term.map(|term| term.to_string()).unwrap_or_default();
+                    "acknowledgement not told"
+                );
+                return false;
+            }
+            pause_before_retry(1).await;
+        }
+    }
+
     pub(super) fn release(
         &self,
         service: &Name,
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -242,10 +242,15 @@
             }
         };
         let Some(class) = answer.error else {
+            let limit_ms = left_ms(route, autocommit.arrived_us);
+            self.release(service, connection, false, None);
+            let is_kept = self.is_commit_kept(service, &member, &answer, limit_ms);
+            if !is_kept.await {
+                return Step::Reply(not_proved_kept());
+            }
             let committed = (autocommit.statement, &member);
             self.record_commit(route, committed, &answer, sent_us);
             self.position = answer.position.or(self.position);
-            self.release(service, connection, false, None);
             return Step::Reply(Reply::Answer(answer));
         };
         self.report_refusal(service, &member, class);
@@ -279,6 +284,13 @@
     Reply::Error(ErrorClass::Busy, text)
 }
 
+/// Reply to a write or a commit that was acknowledged by a primary that may have been
+/// replaced.
+pub(super) fn not_proved_kept() -> Reply {
+    let text = "the primary is being replaced; the commit may be lost";
+    Reply::Error(ErrorClass::InDoubt, text.into())
+}
+
 /// Reply to a write or a commit whose answer was lost: it may have taken effect.
 pub(super) fn in_doubt(error: &RelayError) -> Reply {
     Reply::Error(ErrorClass::InDoubt, format!("the answer was lost: {error}"))
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -2,7 +2,7 @@
 
 use super::{
     attempt::{is_not_run, is_write, pause_before_retry, refusal_reply},
-    autocommit::{in_doubt, left_ms, timed_out},
+    autocommit::{in_doubt, left_ms, not_proved_kept, timed_out},
     *,
 };
 use crate::relay::{
@@ -261,19 +261,20 @@
                 };
             }
         };
-        self.position = answer.position.or(self.position);
-        if answer.error.is_none() && transaction.has_written {
-            self.record_commit(&route, (statement, &member), &answer, sent_us);
-        }
         if let Some(class) = answer.error {
             self.report_refusal(service, &member, class);
         }
-        self.release(
-            service,
-            connection,
-            answer.state != SessionState::Idle,
-            None,
-        );
+        let needs_rollback = answer.state != SessionState::Idle;
+        self.release(service, connection, needs_rollback, None);
+        if answer.error.is_none() && transaction.has_written {
+            let limit_ms = left_ms(&route, sent_us);
+            let is_kept = self.is_commit_kept(service, &member, &answer, limit_ms);
+            if !is_kept.await {
+                return not_proved_kept();
+            }
+            self.record_commit(&route, (statement, &member), &answer, sent_us);
+        }
+        self.position = answer.position.or(self.position);
         match answer.error {
             Some(_) if !transaction.has_written => aborted("nothing was written"),
             _ => Reply::Answer(answer),
