--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -214,6 +214,10 @@
     fn advance(&mut self, now_ms: u64) -> Vec<Action> {
         match &self.phase {
             Phase::Watching => {
+                // An order that came too early for the term to be raised.
+                if self.preferred.is_some() {
+                    return self.raise(now_ms);
+                }
                 if self.is_primary_suspect(now_ms) {
                     self.suspect_primary();
                 } else if self.must_hand_over(now_ms) {
--- a/src/decide/failover/promotion.rs
+++ b/src/decide/failover/promotion.rs
@@ -69,7 +69,21 @@
         (from < self.reserved.end).then_some(from)
     }
 
+    /// Whether a majority of the members has reported since this delegate started.
+    ///
+    /// The reserved terms do not tell which of them an earlier start of this delegate
+    /// has used. A member was promoted only after a majority had accepted the term, so
+    /// that each majority names it, and a term is not led by two members.
+    fn knows_used_terms(&self) -> bool {
+        let reported = self.members.iter().filter(|m| m.status.is_some());
+        reported.count() > self.members.len() / 2
+    }
+
+    /// Raises the term, once it is known which terms were used.
     pub(super) fn raise(&mut self, now_ms: u64) -> Vec<Action> {
+        if !self.knows_used_terms() {
+            return Vec::new();
+        }
         let Some(term) = self.next_term() else {
             return self.reserve_if_short(now_ms).into_iter().collect();
         };
--- a/tests/decide_failover.rs
+++ b/tests/decide_failover.rs
@@ -172,4 +172,6 @@
     no_reserved_term,
     order,
     no_majority,
+    order_after_a_restart,
+    suspicion_after_a_restart,
 }
