--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -25,6 +25,9 @@
 /// The same when a member has restarted under an id that is not known yet: it may
 /// hold commits that the others lack, and is listed within about a second.
 const RESTART_MS: u64 = 1_200;
+/// Pause before an order of unknown outcome is repeated, in milliseconds: a promotion
+/// usually takes effect before.
+const REPEAT_MS: u64 = 700;
 /// Time within which a member that receives is listed, in milliseconds, while the store
 /// answers.
 pub const LISTING_MS: u64 = 300;
@@ -43,6 +46,8 @@
     pub is_leaving: bool,
     /// Whether it counts as permanently gone.
     pub is_gone: bool,
+    /// Whether it has restarted under its id shortly before.
+    pub is_restarted: bool,
 }
 
 /// What an order to a member, or a question about its position, has led to.
@@ -155,6 +160,10 @@
     /// Positions of the other members that are fenced, or that have answered after
     /// the primary had stepped down, and times of their first such answers.
     positions: BTreeMap<Name, (Position, u64)>,
+    /// Highest position that each of them has told.
+    highest: BTreeMap<Name, Position>,
+    /// Members whose position fell: they have restarted without their logs.
+    forgetful: BTreeSet<Name>,
     refused: BTreeSet<Name>,
     /// The member list, as last read in this attempt.
     list: Option<ListRead>,
@@ -162,6 +171,8 @@
     step: Step,
     is_order_unsent: bool,
     is_outcome_unknown: bool,
+    /// Time from which an order of unknown outcome is repeated, in milliseconds.
+    repeat_ms: u64,
     promoted: Option<Name>,
     has_ordered_promotion: bool,
 }
@@ -180,6 +191,8 @@
             members,
             stepped_down: None,
             positions: BTreeMap::new(),
+            highest: BTreeMap::new(),
+            forgetful: BTreeSet::new(),
             refused: BTreeSet::new(),
             list: None,
             has_restarted: false,
@@ -189,6 +202,7 @@
             },
             is_order_unsent: false,
             is_outcome_unknown: false,
+            repeat_ms: 0,
             promoted: None,
             has_ordered_promotion: false,
         }
@@ -245,6 +259,7 @@
                 is_primary: m.is_primary,
                 is_leaving: m.is_leaving || is_refused,
                 is_gone: m.is_gone,
+                is_restarted: m.is_restarted || self.forgetful.contains(&m.member),
                 fenced: fenced.filter(|_| !is_refused),
             }
         });
@@ -337,6 +352,11 @@
     }
 
     fn record(&mut self, member: &Name, received: Position, now_ms: u64) {
+        let highest = self.highest.entry(member.clone()).or_insert(received);
+        if received < *highest {
+            self.forgetful.insert(member.clone());
+        }
+        *highest = received.max(*highest);
         let position = self.positions.entry(member.clone());
         position.or_insert((received, now_ms)).0 = received;
     }
@@ -410,7 +430,7 @@
     }
 
     /// Records the end of [`Step::Promote`].
-    pub fn ordered(&mut self, outcome: PromoteOutcome) {
+    pub fn ordered(&mut self, outcome: PromoteOutcome, now_ms: u64) {
         let Step::Promote { member } = &self.step else {
             return;
         };
@@ -421,6 +441,7 @@
             return;
         }
         self.has_ordered_promotion = true;
+        self.repeat_ms = now_ms + REPEAT_MS;
         self.is_outcome_unknown |= outcome == PromoteOutcome::Unknown;
         // A refusal after an order of unknown outcome does not tell that the first one
         // was not carried out.
@@ -445,13 +466,16 @@
                 Step::Resume
             }
             false if now_ms >= self.started_ms + LEADERSHIP_MS => Step::End,
-            false if self.is_outcome_unknown && now_ms < self.started_ms + ATTEMPT_MS => {
-                Step::Promote { member }
-            }
+            false if self.may_repeat(now_ms) => Step::Promote { member },
             false => Step::AwaitLeadership { member },
         };
     }
 
+    fn may_repeat(&self, now_ms: u64) -> bool {
+        let is_due = now_ms >= self.repeat_ms && now_ms < self.started_ms + ATTEMPT_MS;
+        self.is_outcome_unknown && is_due
+    }
+
     /// Whether replicas may still be ordered to resume: shortly before the claim expires
     /// this is left to the next attempt, which may already have fenced them.
     pub fn may_resume(&self, now_ms: u64) -> bool {
--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -26,6 +26,9 @@
     pub is_leaving: bool,
     /// Whether the platform reports it as permanently gone.
     pub is_gone: bool,
+    /// Whether it has restarted under its id shortly before: it may have received, and
+    /// forgotten, what nobody else has.
+    pub is_restarted: bool,
     /// Its answer, once it has stepped down or stopped receiving.
     pub fenced: Option<Fenced>,
 }
@@ -73,10 +76,12 @@
 pub fn choose(candidates: &[Candidate], knowledge: Knowledge) -> Choice {
     let others = || candidates.iter().filter(|c| !c.is_primary);
     let answered = || others().filter(|c| c.fenced.is_some());
-    let all_answered =
-        knowledge.knows_departed && others().all(|c| c.fenced.is_some() || c.is_gone);
-    let knows_all = all_answered && knowledge.is_list_complete;
     let primary = candidates.iter().find(|c| c.is_primary);
+    // What a restarted member has forgotten, the primary may still hold.
+    let has_forgotten = |c: &Candidate| c.is_restarted && primary.is_some();
+    let has_answered = |c: &Candidate| (c.fenced.is_some() && !has_forgotten(c)) || c.is_gone;
+    let all_answered = knowledge.knows_departed && others().all(has_answered);
+    let knows_all = all_answered && knowledge.is_list_complete;
     let primary_fenced = primary.and_then(|p| p.fenced);
     let best = answered().max_by_key(|c| (c.fenced.map(received), !c.is_leaving));
     let Some(best) = best else {
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -90,6 +90,8 @@
     pub entry: MemberEntry,
     /// Time since which it is missing from the list, in milliseconds.
     pub unlisted_since_ms: Option<u64>,
+    /// Time at which it was listed as restarted under its id, in milliseconds.
+    pub restarted_ms: Option<u64>,
     /// Time since which it is leaving, in milliseconds.
     pub leaving_since_ms: Option<u64>,
     /// Distance from this VM: 0 same zone, 1 same region, 2 other region.
@@ -152,6 +154,7 @@
         Member {
             entry,
             unlisted_since_ms: None,
+            restarted_ms: None,
             leaving_since_ms: None,
             distance,
             paths: vec![MemberPath::Direct],
@@ -280,6 +283,13 @@
         self.failures > 0 && since_ms.is_some_and(|at| now_ms >= at + GONE_MS)
     }
 
+    /// Whether it has restarted under its id so recently that a primary which does not
+    /// answer may come back with commits that it has forgotten.
+    pub fn is_restarted(&self, now_ms: u64) -> bool {
+        let at_ms = self.restarted_ms;
+        at_ms.is_some_and(|at_ms| now_ms < at_ms + GONE_MS)
+    }
+
     /// Whether its address has answered as another member for some time.
     pub fn is_displaced(&self, now_ms: u64) -> bool {
         let since_ms = self.displaced_since_ms;
--- a/src/relay/service/members.rs
+++ b/src/relay/service/members.rs
@@ -25,6 +25,7 @@
     }
 
     fn change_member(&mut self, id: &Name, entry: MemberEntry) {
+        let now_ms = clock::boot_ms();
         let distance = self.context.options.distance(&entry.zone);
         let Some(member) = self.members.get_mut(id) else {
             decision!(
@@ -59,6 +60,7 @@
             // The connections and the report belong to the previous process.
             member.idle.clear();
             member.report = None;
+            member.restarted_ms = Some(now_ms);
         }
         member.set_leaving(entry.is_leaving);
         member.entry = entry;
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -187,6 +187,7 @@
             is_primary: self.primary.as_ref() == Some(id),
             is_leaving: m.is_departing(now_ms),
             is_gone: m.is_gone(now_ms),
+            is_restarted: m.is_restarted(now_ms),
             is_displaced: m.is_displaced(now_ms),
         });
         members.collect()
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -44,6 +44,8 @@
     pub is_leaving: bool,
     /// Whether it counts as permanently gone.
     pub is_gone: bool,
+    /// Whether it has restarted under its id shortly before.
+    pub is_restarted: bool,
     /// Whether its address has answered as another member for so long that this
     /// member can't be the one there, restarted under an id not listed yet.
     pub is_displaced: bool,
@@ -149,7 +151,7 @@
             }
             Step::Promote { member } => {
                 let outcome = promote(plan, &claim, &member, started_ms + ATTEMPT_MS).await;
-                attempt.ordered(outcome);
+                attempt.ordered(outcome, clock::boot_ms());
             }
             Step::AwaitLeadership { member } => {
                 let leads = leads(plan, &orders, &member).await;
@@ -172,6 +174,7 @@
             is_primary: m.is_primary,
             is_leaving: m.is_leaving,
             is_gone: m.is_gone,
+            is_restarted: m.is_restarted,
         });
         members.collect()
     }
--- a/tests/decide_relay.rs
+++ b/tests/decide_relay.rs
@@ -218,6 +218,7 @@
         is_primary: false,
         is_leaving: false,
         is_gone: false,
+        is_restarted: false,
         fenced,
     }
 }
@@ -243,6 +244,13 @@
     }
 }
 
+fn restarted(candidate: Candidate) -> Candidate {
+    Candidate {
+        is_restarted: true,
+        ..candidate
+    }
+}
+
 fn promote(name: &str) -> Choice {
     Choice::Promote(name.into())
 }
@@ -273,6 +281,12 @@
         vec![primary(None), other_member("a", fenced(9)), leaving(other_member("b", fenced(9)))], promote("a") },
     primary_is_leaving = {
         vec![leaving(primary(fenced(9))), other_member("a", fenced(9)), other_member("b", fenced(9))], promote("b") },
+    silent_primary_and_a_replica_that_has_forgotten = {
+        vec![primary(None), other_member("a", fenced(5)), restarted(other_member("b", fenced(1)))], UNSAFE },
+    stepped_down_and_a_replica_has_forgotten = {
+        vec![primary(fenced(9)), other_member("a", fenced(5)), restarted(other_member("b", fenced(1)))], promote("primary") },
+    no_primary_and_all_have_forgotten = {
+        vec![restarted(other_member("a", fenced(1))), restarted(other_member("b", fenced(2)))], promote("b") },
     no_member_answers = {
         vec![primary(None), other_member("a", None), other_member("b", None)],
         Choice::Wait(WaitReason::NobodyFenced) },
