--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -29,6 +29,8 @@
 
 /// Pause between two rounds of orders.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between two rounds of orders while a promotion is carried out.
+const KEEP_PAUSE: Duration = Duration::from_millis(100);
 /// Time that the order to step down has before the other members are fenced as well.
 /// Replicas that are not fenced receive what a primary that steps down had sent.
 const HEAD_START: Duration = Duration::from_millis(200);
@@ -52,6 +54,7 @@
 }
 
 /// Input of an attempt.
+#[derive(Clone)]
 pub struct TakeoverPlan {
     /// Context of the service.
     pub context: ServiceContext,
@@ -114,6 +117,8 @@
     started_ms: u64,
 ) -> Claim {
     let orders = Orders::new(plan.context.clone());
+    // Ends when dropped.
+    let mut keeper = None;
     loop {
         match attempt.step().clone() {
             Step::Fence => {
@@ -142,7 +147,8 @@
                 let service = plan.context.service.clone();
                 let authority = &plan.context.options.authority;
                 let record = (authority.record_order)(service, claim.clone(), member);
-                let fencing = check_fences(plan, attempt, &orders);
+                // Also where the primary has stepped down: after a crash it leads again.
+                let fencing = order_others(plan, &orders, false);
                 let (recorded, answers, list) = join3(record, fencing, plan.read_list()).await;
                 let is_recorded = recorded.is_some();
                 claim = recorded.unwrap_or(claim);
@@ -150,6 +156,12 @@
                 attempt.prepared(is_recorded, &answers, list, clock::boot_ms());
             }
             Step::Promote { member } => {
+                if keeper.is_none() {
+                    keeper = Some(compio::runtime::spawn(keep_fenced(
+                        plan.clone(),
+                        member.clone(),
+                    )));
+                }
                 let outcome = promote(plan, &claim, &member, started_ms + ATTEMPT_MS).await;
                 attempt.ordered(outcome, clock::boot_ms());
             }
@@ -158,6 +170,7 @@
                 attempt.awaited(leads, clock::boot_ms());
             }
             Step::Resume => {
+                keeper = None;
                 resume(plan, attempt, &orders).await;
                 attempt.resumed();
             }
@@ -231,13 +244,24 @@
     answers
 }
 
-/// Checks right before an order that what was chosen by still holds.
-async fn check_fences(
-    plan: &TakeoverPlan,
-    attempt: &Attempt,
-    orders: &Orders,
-) -> BTreeMap<Name, OrderAnswer> {
-    order_others(plan, orders, attempt.has_stepped_down()).await
+/// Goes on ordering the primary to step down and the others to stop receiving while a
+/// promotion is carried out: the primary may be reached again or come back after a
+/// crash, and a member that restarts forgets its fence.
+async fn keep_fenced(plan: TakeoverPlan, promoted: Name) {
+    let orders = Orders::new(plan.context.clone());
+    loop {
+        compio::time::sleep(KEEP_PAUSE).await;
+        let others = order_others(&plan, &orders, false);
+        let is_replaced = |m: &&GroupMember| m.is_primary && m.target.member != promoted;
+        match plan.members.iter().find(is_replaced) {
+            Some(primary) => {
+                join(step_down::order(&plan, &orders, primary), others).await;
+            }
+            None => {
+                others.await;
+            }
+        }
+    }
 }
 
 /// Fences all members but the primary, or asks them for their positions, in parallel.
