--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -248,6 +248,11 @@
         self.idle.clear();
     }
 
+    /// Whether it answers probes, and is not too busy to report.
+    pub fn gives_reports(&self) -> bool {
+        self.failures == 0 && self.probe_refusals == 0 && self.open_refusals == 0
+    }
+
     /// Whether it refused to open a connection shortly before.
     pub fn refuses_connections(&self, now_ms: u64) -> bool {
         self.open_refusals > 0 && now_ms < self.open_after_ms
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -125,7 +125,11 @@
     pub(super) fn resolve_leadership_checks(&mut self) {
         let now_us = clock::boot_us();
         for check in std::mem::take(&mut self.leadership_checks) {
-            let leadership = self.leadership(&check.primary, check.since_us);
+            let needed = match check.is_commit {
+                true => self.commit_reports_needed(&check.primary),
+                false => self.reports_needed(),
+            };
+            let leadership = self.leadership(&check.primary, check.since_us, needed);
             let is_late = now_us >= check.since_us + LEADERSHIP_CHECK_TIMEOUT_US;
             match leadership {
                 LeadershipCheck::Confirmed { .. }
@@ -144,7 +148,7 @@
                     let _ = check.reply.send(term.flatten());
                 }
                 LeadershipCheck::Pending => {
-                    self.request_confirmations(&check.primary, check.since_us);
+                    self.request_confirmations(&check.primary, check.since_us, needed);
                     self.leadership_checks.push(check);
                 }
             }
@@ -158,15 +162,23 @@
         term_reports_needed(counted.count(), self.config.sync_replicas)
     }
 
+    /// The same before a commit is told: all that report, since a member that was
+    /// promoted is one of them, and a replica may still follow the old primary.
+    fn commit_reports_needed(&self, primary: &Name) -> usize {
+        let others = self.members.iter().filter(|(id, _)| *id != primary);
+        let reporting = others.filter(|(_, m)| m.gives_reports()).count();
+        self.reports_needed().max(reporting)
+    }
+
     /// Whether the other members' reports since `since_us` confirm the primary.
-    fn leadership(&self, primary: &Name, since_us: u64) -> LeadershipCheck {
+    fn leadership(&self, primary: &Name, since_us: u64, needed: usize) -> LeadershipCheck {
         let others = self.members.iter().filter(|(id, _)| *id != primary);
         let reports = others.filter_map(|(_, m)| m.report);
         let term_reports = reports.map(|(asked_us, report)| TermReport {
             asked_us,
             term: report.term.max(report.held_term),
         });
-        check_leadership(term_reports, since_us, self.reports_needed())
+        check_leadership(term_reports, since_us, needed)
     }
 
     /// Whether another member is known to lead.
@@ -187,7 +199,7 @@
     }
 
     /// Requests reports of the members that are to confirm the primary.
-    fn request_confirmations(&mut self, primary: &Name, since_us: u64) {
+    fn request_confirmations(&mut self, primary: &Name, since_us: u64, needed: usize) {
         let others: BTreeMap<Name, (u32, u32)> = self
             .members
             .iter()
@@ -197,7 +209,7 @@
         let is_slow = clock::boot_us() >= since_us + ASK_ALL_AFTER_US;
         let needed = match is_slow {
             true => others.len(),
-            false => self.reports_needed(),
+            false => needed,
         };
         for id in members_to_ask(&others, needed) {
             self.request_report_since(&id, since_us);
@@ -258,7 +270,7 @@
         match primary {
             Some(primary) if self.is_answering(&primary) => {
                 self.request_report_since(&primary, since_us);
-                self.request_confirmations(&primary, since_us);
+                self.request_confirmations(&primary, since_us, self.reports_needed());
             }
             _ => self.request_all_reports(since_us),
         }
@@ -307,7 +319,9 @@
     /// Position of the primary, if reports since `since_us` confirm that it leads.
     fn confirmed_position(&self, primary: &Name, since_us: u64) -> Option<Position> {
         let (asked_us, report) = self.members.get(primary)?.report?;
-        let LeadershipCheck::Confirmed { term } = self.leadership(primary, since_us) else {
+        let LeadershipCheck::Confirmed { term } =
+            self.leadership(primary, since_us, self.reports_needed())
+        else {
             return None;
         };
         let leads = asked_us > since_us && report.confirms_leadership(term);
