--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -162,7 +162,8 @@
     positions: BTreeMap<Name, (Position, u64)>,
     /// Highest position that each of them has told.
     highest: BTreeMap<Name, Position>,
-    /// Members whose position fell: they have restarted without their logs.
+    /// Members whose position fell or that hold nothing: they have restarted without
+    /// their logs.
     forgetful: BTreeSet<Name>,
     refused: BTreeSet<Name>,
     /// The member list, as last read in this attempt.
@@ -353,7 +354,7 @@
 
     fn record(&mut self, member: &Name, received: Position, now_ms: u64) {
         let highest = self.highest.entry(member.clone()).or_insert(received);
-        if received < *highest {
+        if received < *highest || received.lsn == Lsn(0) {
             self.forgetful.insert(member.clone());
         }
         *highest = received.max(*highest);
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -137,6 +137,12 @@
                 {
                     let _ = check.reply.send(None);
                 }
+                // This VM is replacing the primary itself.
+                LeadershipCheck::Confirmed { .. }
+                    if check.is_commit && matches!(self.takeover, Takeover::Running) =>
+                {
+                    let _ = check.reply.send(Some(self.highest_term() + 1));
+                }
                 LeadershipCheck::Confirmed { term } => {
                     // The caller may have disconnected.
                     let _ = check.reply.send(Some(term));
--- /dev/null
+++ b/tests/takeover_orderings/driver.rs
@@ -0,0 +1,332 @@
+//! How a VM carries out the steps of an attempt, like `relay::takeover`.
+
+use foxtailknot::{
+    decide::{
+        attempt::{ATTEMPT_MS, ListRead, OrderAnswer, PromoteOutcome, Step},
+        claim::ClaimRow,
+    },
+    prelude::*,
+};
+
+use super::{
+    call::{Call, Reply, Request},
+    event::Event,
+    member::Role,
+    mutation::Mutation,
+    run::{Run, Stage},
+    world::World,
+};
+
+/// Pause between two rounds of orders, in milliseconds.
+const ROUND_PAUSE_MS: u64 = 50;
+/// Time that the order to step down has before other members are fenced, in milliseconds.
+const HEAD_START_MS: u64 = 200;
+/// Time after which other VMs are asked as well, unless the primary was silent before.
+const RELAY_AFTER_MS: u64 = 80;
+/// Pause between two questions whether the promoted member leads, in milliseconds.
+const LEADS_PAUSE_MS: u64 = 40;
+/// Pause after an attempt, in milliseconds.
+const PAUSE_MS: u64 = 800;
+/// The same after one that could not settle its order, in milliseconds.
+const FAILED_ORDER_PAUSE_MS: u64 = 3_000;
+
+impl World {
+    /// The attempt that a VM runs. Calls and timers end with it.
+    pub fn run(&mut self, vm: usize) -> &mut Run {
+        let run = self.vms[vm].run.as_mut();
+        run.expect("only a running attempt waits for calls and timers")
+    }
+
+    fn index(&self, name: &Name) -> usize {
+        let found = self.members.iter().position(|m| m.name == *name);
+        found.expect("an attempt knows members of the group only")
+    }
+
+    /// Sends a call of the present step.
+    pub fn call(&mut self, vm: usize, request: Request) {
+        self.call_through(vm, request, None, 0);
+    }
+
+    fn call_through(
+        &mut self,
+        vm: usize,
+        request: Request,
+        through: Option<usize>,
+        delay_ms: u64,
+    ) -> u64 {
+        let id = self.number();
+        self.run(vm).calls.insert(id, request.clone());
+        let call = Call {
+            id,
+            vm,
+            through,
+            request,
+        };
+        self.send(call, delay_ms);
+        id
+    }
+
+    fn start_timer(&mut self, vm: usize, delay_ms: u64) {
+        let number = self.number();
+        self.run(vm).timer = Some(number);
+        self.after(delay_ms, Event::Timer { vm, number });
+    }
+
+    /// A timer of an attempt has fired.
+    pub fn timer_fired(&mut self, vm: usize, number: u64) {
+        let run = self.vms[vm].run.as_mut();
+        let Some(run) = run.filter(|run| run.timer == Some(number)) else {
+            return;
+        };
+        run.timer = None;
+        if matches!(run.attempt.step(), Step::Fence) && !run.has_ordered_others {
+            self.order_others(vm, false);
+        }
+        self.end_step_if_done(vm);
+    }
+
+    /// Begins the present step of an attempt.
+    fn begin_step(&mut self, vm: usize) {
+        let now_ms = self.now_ms;
+        let lacks_list = self.lacks(Mutation::ListReadOnce);
+        let run = self.run(vm);
+        run.answers.clear();
+        run.outcome = None;
+        let keeps_list = lacks_list && run.list.is_some();
+        if !keeps_list {
+            run.list = None;
+        }
+        let step = run.attempt.step().clone();
+        let has_stepped_down = run.attempt.has_stepped_down();
+        let (started_ms, primary) = (run.started_ms, run.primary);
+        if !matches!(step, Step::AwaitLeadership { .. }) {
+            self.note(|_| format!("vm-{vm}: {step:?}"));
+        }
+        match step {
+            Step::Fence => {
+                if !keeps_list {
+                    self.call(vm, Request::ReadList);
+                }
+                self.run(vm).has_ordered_others = false;
+                let known = &self.vms[vm].known;
+                match primary.filter(|p| !has_stepped_down && known.contains_key(p)) {
+                    Some(primary) => self.order_step_down(vm, primary),
+                    None => self.order_others(vm, has_stepped_down),
+                }
+            }
+            Step::Pause => self.start_timer(vm, ROUND_PAUSE_MS),
+            Step::Settle { until_ms } => {
+                self.start_timer(vm, until_ms.saturating_sub(now_ms));
+            }
+            Step::Prepare { member } => {
+                if !keeps_list {
+                    self.call(vm, Request::ReadList);
+                }
+                self.record_order(vm, member);
+                self.order_others(vm, false);
+            }
+            Step::Promote { member } => {
+                let member = self.index(&member);
+                let claim = self.run(vm).claim;
+                match claim.filter(|_| now_ms < started_ms + ATTEMPT_MS) {
+                    Some(claim) => {
+                        let (fence, claimed_ms) = (claim.fence, claim.claimed_ms);
+                        self.call(
+                            vm,
+                            Request::Promote {
+                                member,
+                                fence,
+                                claimed_ms,
+                            },
+                        );
+                    }
+                    None => self.end_step(vm),
+                }
+            }
+            Step::AwaitLeadership { member } => {
+                let member = self.index(&member);
+                self.call(vm, Request::Status { member });
+            }
+            Step::Resume => {
+                if self.run(vm).attempt.may_resume(now_ms) {
+                    for member in self.replicas(vm) {
+                        self.call(vm, Request::Resume { member });
+                    }
+                }
+                self.end_step_if_done(vm);
+            }
+            Step::End => self.end_attempt(vm),
+        }
+    }
+
+    fn replicas(&mut self, vm: usize) -> Vec<usize> {
+        let primary = self.run(vm).primary;
+        let known = self.vms[vm].known.keys().copied();
+        known.filter(|m| Some(*m) != primary).collect()
+    }
+
+    /// Fences all members but the primary, or asks them for their positions.
+    pub fn order_others(&mut self, vm: usize, only_asks: bool) {
+        let term = self.run(vm).term;
+        self.run(vm).has_ordered_others = true;
+        for member in self.replicas(vm) {
+            let request = match only_asks {
+                true => Request::Status { member },
+                false => Request::Fence { member, term },
+            };
+            self.call(vm, request);
+        }
+    }
+
+    fn order_step_down(&mut self, vm: usize, primary: usize) {
+        let run = self.run(vm);
+        let request = Request::StepDown {
+            member: primary,
+            term: run.term,
+        };
+        let delay_ms = match run.is_primary_silent {
+            true => 0,
+            false => RELAY_AFTER_MS,
+        };
+        let direct = self.call_through(vm, request.clone(), None, 0);
+        self.run(vm).step_down_calls = [direct].into();
+        self.run(vm).relayed_calls.clear();
+        self.run(vm).step_down_answer = OrderAnswer::Silent;
+        if !self.lacks(Mutation::RelaysSilent) {
+            for other in (0..self.vms.len()).filter(|other| *other != vm) {
+                let id = self.call_through(vm, request.clone(), Some(other), delay_ms);
+                self.run(vm).step_down_calls.insert(id);
+                self.run(vm).relayed_calls.insert(id);
+            }
+        }
+        self.start_timer(vm, HEAD_START_MS);
+    }
+
+    fn record_order(&mut self, vm: usize, member: Name) {
+        let own = self.vms[vm].name.clone();
+        let run = self.run(vm);
+        run.is_recorded = false;
+        let Some(claim) = run.claim else {
+            return;
+        };
+        let row = ClaimRow {
+            vm: own,
+            claimed_ms: claim.claimed_ms,
+            is_released: false,
+            ordered: Some(member),
+        };
+        let version = claim.fence;
+        self.call(vm, Request::WriteClaim { row, version });
+    }
+
+    /// Ends the present step once nothing is outstanding.
+    pub fn end_step_if_done(&mut self, vm: usize) {
+        let Some(run) = self.vms[vm].run.as_ref() else {
+            return;
+        };
+        let is_fence = matches!(run.attempt.step(), Step::Fence);
+        let waits = match is_fence {
+            true => !run.has_ordered_others,
+            false => run.timer.is_some(),
+        };
+        if run.stage == Stage::Steps && run.calls.is_empty() && !waits {
+            self.end_step(vm);
+        }
+    }
+
+    fn end_step(&mut self, vm: usize) {
+        let now_ms = self.now_ms;
+        let step = self.run(vm).attempt.step().clone();
+        let is_reading = matches!(step, Step::Fence | Step::Prepare { .. });
+        if is_reading && !self.lacks(Mutation::ListReadOnce) {
+            let primary = self.run(vm).primary;
+            let members = self.attempt_members(vm, primary);
+            self.run(vm).attempt.update_members(members);
+        }
+        let ignores_return = self.lacks(Mutation::ReturnIgnored);
+        let counts_refused = self.lacks(Mutation::UnknownIsRefused);
+        let run = self.run(vm);
+        let list = match ignores_return {
+            true => run.list.map(|list| ListRead {
+                back_ms: None,
+                ..list
+            }),
+            false => run.list,
+        };
+        let leads = matches!(
+            run.outcome,
+            Some(Reply::Report {
+                role: Role::Primary,
+                ..
+            })
+        );
+        match step {
+            Step::Fence => {
+                run.timer = None;
+                run.attempt.fenced(&run.answers, list, now_ms);
+                self.note(|w| {
+                    let run = w.vms[vm].run.as_ref();
+                    run.map_or(String::new(), |run| {
+                        format!("vm-{vm}: answers {:?}, list {list:?}", run.answers)
+                    })
+                });
+            }
+            Step::Pause => run.attempt.paused(now_ms),
+            Step::Settle { .. } => run.attempt.settled(now_ms),
+            Step::Prepare { .. } => {
+                let is_recorded = run.is_recorded;
+                run.attempt
+                    .prepared(is_recorded, &run.answers, list, now_ms);
+            }
+            Step::Promote { .. } => {
+                let outcome = match run.outcome {
+                    None => PromoteOutcome::NotSent,
+                    Some(Reply::Accepted) => PromoteOutcome::Accepted,
+                    Some(Reply::Refused) => PromoteOutcome::Refused,
+                    Some(_) if counts_refused => PromoteOutcome::Refused,
+                    Some(_) => PromoteOutcome::Unknown,
+                };
+                run.attempt.ordered(outcome, now_ms);
+            }
+            Step::AwaitLeadership { .. } if !leads && run.outcome.take().is_some() => {
+                self.start_timer(vm, LEADS_PAUSE_MS);
+                return;
+            }
+            Step::AwaitLeadership { .. } => run.attempt.awaited(leads, now_ms),
+            Step::Resume => run.attempt.resumed(),
+            Step::End => return,
+        }
+        self.begin_step(vm);
+    }
+
+    /// Begins the steps, once the claim is made.
+    pub fn begin_steps(&mut self, vm: usize) {
+        self.run(vm).stage = Stage::Steps;
+        self.begin_step(vm);
+    }
+
+    /// Pauses after an attempt; releases the claim if no order was sent.
+    pub fn end_attempt(&mut self, vm: usize) {
+        let run = self.run(vm);
+        run.stage = Stage::Releasing;
+        let pause_ms = match run.attempt.has_failed_to_order() {
+            true => FAILED_ORDER_PAUSE_MS,
+            false => PAUSE_MS,
+        };
+        let claim = run.claim.filter(|_| !run.attempt.has_ordered_promotion());
+        self.vms[vm].pause_until_ms = self.now_ms + pause_ms;
+        self.note(|_| format!("vm-{vm}: attempt ended"));
+        let Some(claim) = claim else {
+            self.vms[vm].run = None;
+            return;
+        };
+        let row = ClaimRow {
+            vm: self.vms[vm].name.clone(),
+            claimed_ms: 0,
+            is_released: true,
+            ordered: None,
+        };
+        let version = claim.fence;
+        self.call(vm, Request::WriteClaim { row, version });
+    }
+}
