--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -28,12 +28,15 @@
 /// Pause before an order of unknown outcome is repeated, in milliseconds: a promotion
 /// usually takes effect before.
 const REPEAT_MS: u64 = 700;
+/// Time before the end of an attempt at which a primary that has stepped down is promoted
+/// again, in milliseconds: later there is nobody whose log is known to have everything.
+const LAST_ROUND_MS: u64 = 1_000;
 /// Time within which a member that receives is listed, in milliseconds, while the store
 /// answers.
 pub const LISTING_MS: u64 = 300;
 /// Time within which all members are listed again after the store was away, in
 /// milliseconds.
-const RETURN_MS: u64 = 2_500;
+const RETURN_MS: u64 = 2_000;
 
 /// A member of the group, as an attempt knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -219,6 +222,11 @@
         self.stepped_down.is_some()
     }
 
+    /// Whether a member has answered, so that its answer is checked before an order.
+    pub fn has_answered(&self, member: &Name) -> bool {
+        self.positions.contains_key(member)
+    }
+
     /// Member that is known to lead after this attempt.
     pub fn promoted(&self) -> Option<&Name> {
         self.promoted.as_ref()
@@ -354,7 +362,8 @@
 
     fn record(&mut self, member: &Name, received: Position, now_ms: u64) {
         let highest = self.highest.entry(member.clone()).or_insert(received);
-        if received < *highest || received.lsn == Lsn(0) {
+        let is_empty = received.lsn == Lsn(0) && self.stepped_down.is_some();
+        if received < *highest || is_empty {
             self.forgetful.insert(member.clone());
         }
         *highest = received.max(*highest);
@@ -374,7 +383,8 @@
             true => RESTART_MS,
             false => CATCH_UP_MS,
         };
-        let is_early = |(_, at_ms): (Position, u64)| now_ms < at_ms + catch_up_ms;
+        let last_ms = self.started_ms + ATTEMPT_MS - LAST_ROUND_MS;
+        let is_early = |(_, at_ms): (Position, u64)| now_ms < last_ms.min(at_ms + catch_up_ms);
         let is_primary = |m: &AttemptMember| m.is_primary && m.member == member;
         match self.members.iter().any(is_primary) && self.stepped_down.is_some_and(is_early) {
             true => Step::Pause,
--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -78,7 +78,7 @@
     let answered = || others().filter(|c| c.fenced.is_some());
     let primary = candidates.iter().find(|c| c.is_primary);
     // What a restarted member has forgotten, the primary may still hold.
-    let has_forgotten = |c: &Candidate| c.is_restarted && primary.is_some();
+    let has_forgotten = |c: &Candidate| c.is_restarted && primary.is_some_and(|p| !p.is_gone);
     let has_answered = |c: &Candidate| (c.fenced.is_some() && !has_forgotten(c)) || c.is_gone;
     let all_answered = knowledge.knows_departed && others().all(has_answered);
     let knows_all = all_answered && knowledge.is_list_complete;
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -131,18 +131,18 @@
             };
             let leadership = self.leadership(&check.primary, check.since_us, needed);
             let is_late = now_us >= check.since_us + LEADERSHIP_CHECK_TIMEOUT_US;
-            match leadership {
-                LeadershipCheck::Confirmed { .. }
-                    if check.is_commit && self.is_replaced(&check.primary) =>
-                {
+            if check.is_commit && (is_late || leadership != LeadershipCheck::Pending) {
+                if self.is_replaced(&check.primary) {
                     let _ = check.reply.send(None);
+                    continue;
                 }
                 // This VM is replacing the primary itself.
-                LeadershipCheck::Confirmed { .. }
-                    if check.is_commit && matches!(self.takeover, Takeover::Running) =>
-                {
+                if matches!(self.takeover, Takeover::Running) {
                     let _ = check.reply.send(Some(self.highest_term() + 1));
+                    continue;
                 }
+            }
+            match leadership {
                 LeadershipCheck::Confirmed { term } => {
                     // The caller may have disconnected.
                     let _ = check.reply.send(Some(term));
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -148,7 +148,7 @@
                 let authority = &plan.context.options.authority;
                 let record = (authority.record_order)(service, claim.clone(), member);
                 // Also where the primary has stepped down: after a crash it leads again.
-                let fencing = order_others(plan, &orders, false);
+                let fencing = check_fences(plan, attempt, &orders);
                 let (recorded, answers, list) = join3(record, fencing, plan.read_list()).await;
                 let is_recorded = recorded.is_some();
                 claim = recorded.unwrap_or(claim);
@@ -264,13 +264,34 @@
     }
 }
 
-/// Fences all members but the primary, or asks them for their positions, in parallel.
+/// Checks right before an order that those are fenced by whose answers it was chosen.
+async fn check_fences(
+    plan: &TakeoverPlan,
+    attempt: &Attempt,
+    orders: &Orders,
+) -> BTreeMap<Name, OrderAnswer> {
+    let has_answered = |m: &&GroupMember| attempt.has_answered(&m.target.member);
+    let members = plan.members.iter().filter(has_answered);
+    order_all(plan, orders, members, false).await
+}
+
+/// Fences all members but the primary, or asks them for their positions.
 async fn order_others(
     plan: &TakeoverPlan,
     orders: &Orders,
     only_asks: bool,
 ) -> BTreeMap<Name, OrderAnswer> {
-    let others = plan.members.iter().filter(|m| !m.is_primary);
+    order_all(plan, orders, plan.members.iter(), only_asks).await
+}
+
+/// Fences members, but no primary, or asks them for their positions, in parallel.
+async fn order_all<'a>(
+    plan: &TakeoverPlan,
+    orders: &Orders,
+    members: impl Iterator<Item = &'a GroupMember>,
+    only_asks: bool,
+) -> BTreeMap<Name, OrderAnswer> {
+    let others = members.filter(|m| !m.is_primary);
     let answers = others.map(|m| async move {
         let order = match only_asks {
             true => MemberRequest::Status,
