--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -51,6 +51,8 @@
     pub is_gone: bool,
     /// Whether it has restarted under its id shortly before.
     pub is_restarted: bool,
+    /// Highest position that it has ever reported to this VM.
+    pub highest_received: Option<Position>,
 }
 
 /// What an order to a member, or a question about its position, has led to.
@@ -363,7 +365,9 @@
     fn record(&mut self, member: &Name, received: Position, now_ms: u64) {
         let highest = self.highest.entry(member.clone()).or_insert(received);
         let is_empty = received.lsn == Lsn(0) && self.stepped_down.is_some();
-        if received < *highest || is_empty {
+        let known = self.members.iter().find(|m| m.member == *member);
+        let known = known.and_then(|m| m.highest_received);
+        if received < *highest || Some(received) < known || is_empty {
             self.forgetful.insert(member.clone());
         }
         *highest = received.max(*highest);
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -15,6 +15,7 @@
         retry::Backoff,
         window::Window,
     },
+    position::Position,
 };
 
 /// Pause after the member refused to open a connection. Opening one costs the
@@ -120,6 +121,8 @@
     pub window: Window,
     /// The last report, and the time its probe was sent, in microseconds.
     pub report: Option<(u64, StatusReport)>,
+    /// Highest position that it has reported, also before a restart under its id.
+    pub highest_received: Option<Position>,
     /// Time the probe in flight was sent, in microseconds.
     pub probe_sent_us: Option<u64>,
     /// Time after which the requested probe must be sent, in microseconds.
@@ -169,6 +172,7 @@
             running: 0,
             window: Window::default(),
             report: None,
+            highest_received: None,
             probe_sent_us: None,
             probe_after_us: None,
             probe_requested_us: None,
@@ -221,6 +225,7 @@
             true => self.fenced_since_us.or(Some(asked_us)),
             false => None,
         };
+        self.highest_received = self.highest_received.max(Some(report.received));
         self.report = Some((asked_us, report));
     }
 
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -188,6 +188,7 @@
             is_leaving: m.is_departing(now_ms),
             is_gone: m.is_gone(now_ms),
             is_restarted: m.is_restarted(now_ms),
+            highest_received: m.highest_received,
             is_displaced: m.is_displaced(now_ms),
         });
         members.collect()
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -48,6 +48,8 @@
     pub is_gone: bool,
     /// Whether it has restarted under its id shortly before.
     pub is_restarted: bool,
+    /// Highest position that it has ever reported to this VM.
+    pub highest_received: Option<Position>,
     /// Whether its address has answered as another member for so long that this
     /// member can't be the one there, restarted under an id not listed yet.
     pub is_displaced: bool,
@@ -188,6 +190,7 @@
             is_leaving: m.is_leaving,
             is_gone: m.is_gone,
             is_restarted: m.is_restarted,
+            highest_received: m.highest_received,
         });
         members.collect()
     }
--- a/tests/takeover_orderings/vm.rs
+++ b/tests/takeover_orderings/vm.rs
@@ -13,6 +13,8 @@
     pub unlisted_since_ms: Option<u64>,
     /// Its last report.
     pub report: Option<Report>,
+    /// Highest position that it has reported.
+    pub highest_received: Option<Position>,
 }
 
 impl Known {
--- a/tests/takeover_orderings/watch.rs
+++ b/tests/takeover_orderings/watch.rs
@@ -102,7 +102,10 @@
                 term: reporting.term,
                 held_term: reporting.held_term,
             };
-            self.vms[vm].known.entry(*member).or_default().report = Some(report);
+            let received = Some(reporting.received());
+            let known = self.vms[vm].known.entry(*member).or_default();
+            known.report = Some(report);
+            known.highest_received = known.highest_received.max(received);
         }
         let known = &mut self.vms[vm];
         let primary = known.find_primary();
@@ -163,6 +166,7 @@
             is_leaving: self.is_leaving(vm, *member),
             is_gone: false,
             is_restarted: self.is_listed_as_restarted(*member),
+            highest_received: self.vms[vm].known[member].highest_received,
         });
         members.collect()
     }
