--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -51,7 +51,7 @@
     pub is_gone: bool,
     /// Whether it has restarted under its id shortly before.
     pub is_restarted: bool,
-    /// Highest position that it has ever reported to this VM.
+    /// Highest position that it has reported to this VM in its term.
     pub highest_received: Option<Position>,
 }
 
@@ -431,15 +431,16 @@
         };
         let member = member.clone();
         self.list = list;
-        if self.record_answers(answers, now_ms) {
-            self.step = Step::Resume;
-            return;
-        }
+        let is_replaced = self.record_answers(answers, now_ms);
         let is_unchanged = self.choice() == Choice::Promote(member.clone());
         let is_late = now_ms >= self.started_ms + ATTEMPT_MS;
-        self.step = match (is_late, is_recorded && is_unchanged) {
-            (true, _) => Step::Resume,
-            (false, true) => Step::Promote { member },
+        let holds = is_recorded && is_unchanged && !is_late && !is_replaced;
+        self.repeat_ms = now_ms + REPEAT_MS;
+        self.step = match (holds, self.is_outcome_unknown) {
+            (true, _) => Step::Promote { member },
+            // The earlier order may still be carried out.
+            (false, true) => Step::AwaitLeadership { member },
+            (false, false) if is_late || is_replaced => Step::Resume,
             (false, false) => Step::Fence,
         };
     }
@@ -481,7 +482,7 @@
                 Step::Resume
             }
             false if now_ms >= self.started_ms + LEADERSHIP_MS => Step::End,
-            false if self.may_repeat(now_ms) => Step::Promote { member },
+            false if self.may_repeat(now_ms) => Step::Prepare { member },
             false => Step::AwaitLeadership { member },
         };
     }
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -121,7 +121,8 @@
     pub window: Window,
     /// The last report, and the time its probe was sent, in microseconds.
     pub report: Option<(u64, StatusReport)>,
-    /// Highest position that it has reported, also before a restart under its id.
+    /// Highest position that it has reported in its term, also before a restart under
+    /// its id.
     pub highest_received: Option<Position>,
     /// Time the probe in flight was sent, in microseconds.
     pub probe_sent_us: Option<u64>,
@@ -225,7 +226,12 @@
             true => self.fenced_since_us.or(Some(asked_us)),
             false => None,
         };
-        self.highest_received = self.highest_received.max(Some(report.received));
+        // A new primary may have rolled back what was ahead of it.
+        let is_new_term = self.report.is_some_and(|(_, last)| last.term < report.term);
+        self.highest_received = match is_new_term {
+            true => Some(report.received),
+            false => self.highest_received.max(Some(report.received)),
+        };
         self.report = Some((asked_us, report));
     }
 
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -48,7 +48,7 @@
     pub is_gone: bool,
     /// Whether it has restarted under its id shortly before.
     pub is_restarted: bool,
-    /// Highest position that it has ever reported to this VM.
+    /// Highest position that it has reported to this VM in its term.
     pub highest_received: Option<Position>,
     /// Whether its address has answered as another member for so long that this
     /// member can't be the one there, restarted under an id not listed yet.
