--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -239,6 +239,11 @@
         self.has_ordered_promotion
     }
 
+    /// Whether the order has been carried out, and none is still on its way.
+    pub fn has_settled_order(&self) -> bool {
+        self.promoted.is_some() && !self.is_outcome_unknown
+    }
+
     /// Whether other VMs should go first next time: this one could not give an order, or
     /// got no answer that settles it.
     pub fn has_failed_to_order(&self) -> bool {
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -37,10 +37,11 @@
     /// Claims the right for a service; `None` when another VM holds it or the
     /// platform does not answer.
     pub claim: Rc<dyn Fn(Name) -> LocalBoxFuture<'static, Option<Claim>>>,
-    /// Records in the claim which member is to be ordered, and returns the claim with
-    /// the fence of that order; `None` when the claim is lost or the platform does not
-    /// answer.
-    pub record_order: Rc<dyn Fn(Name, Claim, Name) -> LocalBoxFuture<'static, Option<Claim>>>,
+    /// Records in the claim which member is to be ordered, or that no order is open any
+    /// more, and returns the claim with its new fence; `None` when the claim is lost or the
+    /// platform does not answer.
+    pub record_order:
+        Rc<dyn Fn(Name, Claim, Option<Name>) -> LocalBoxFuture<'static, Option<Claim>>>,
     /// Reads the member list and applies it; `None` when the platform does not answer.
     pub read_members: Rc<dyn Fn() -> LocalBoxFuture<'static, Option<ListRead>>>,
     /// Gives up the claim.
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -104,10 +104,15 @@
         promoted,
         has_failed_to_order: attempt.has_failed_to_order(),
     });
-    // After a promotion order the claim is kept until it expires, so that no other
-    // VM gives a conflicting order soon after.
-    if let Some(claim) = claim.filter(|_| !attempt.has_ordered_promotion()) {
+    let Some(claim) = claim else {
+        return;
+    };
+    // After a promotion order the claim is kept until it expires, so that no other VM
+    // gives a conflicting order soon after. This VM may, once the order is settled.
+    if !attempt.has_ordered_promotion() {
         (authority.release)(service, claim).await;
+    } else if attempt.has_settled_order() {
+        (authority.record_order)(service, claim, None).await;
     }
 }
 
@@ -148,7 +153,7 @@
             Step::Prepare { member } => {
                 let service = plan.context.service.clone();
                 let authority = &plan.context.options.authority;
-                let record = (authority.record_order)(service, claim.clone(), member);
+                let record = (authority.record_order)(service, claim.clone(), Some(member));
                 // Also where the primary has stepped down: after a crash it leads again.
                 let fencing = check_fences(plan, attempt, &orders);
                 let (recorded, answers, list) = join3(record, fencing, plan.read_list()).await;
