--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -25,12 +25,18 @@
 /// The same when a member has restarted under an id that is not known yet: it may
 /// hold commits that the others lack, and is listed within about a second.
 const RESTART_MS: u64 = 1_200;
+/// Pause before an order of unknown outcome is repeated, in milliseconds: a promotion
+/// usually takes effect before.
+const REPEAT_MS: u64 = 700;
+/// Time before the end of an attempt at which a primary that has stepped down is promoted
+/// again, in milliseconds: later there is nobody whose log is known to have everything.
+const LAST_ROUND_MS: u64 = 1_000;
 /// Time within which a member that receives is listed, in milliseconds, while the store
 /// answers.
 pub const LISTING_MS: u64 = 300;
 /// Time within which all members are listed again after the store was away, in
 /// milliseconds.
-const RETURN_MS: u64 = 2_500;
+const RETURN_MS: u64 = 2_000;
 
 /// A member of the group, as an attempt knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,6 +49,10 @@
     pub is_leaving: bool,
     /// Whether it counts as permanently gone.
     pub is_gone: bool,
+    /// Whether it has restarted under its id shortly before.
+    pub is_restarted: bool,
+    /// Highest position that it has reported to this VM in its term.
+    pub highest_received: Option<Position>,
 }
 
 /// What an order to a member, or a question about its position, has led to.
@@ -155,6 +165,11 @@
     /// Positions of the other members that are fenced, or that have answered after
     /// the primary had stepped down, and times of their first such answers.
     positions: BTreeMap<Name, (Position, u64)>,
+    /// Highest position that each of them has told.
+    highest: BTreeMap<Name, Position>,
+    /// Members whose position fell or that hold nothing: they have restarted without
+    /// their logs.
+    forgetful: BTreeSet<Name>,
     refused: BTreeSet<Name>,
     /// The member list, as last read in this attempt.
     list: Option<ListRead>,
@@ -162,6 +177,8 @@
     step: Step,
     is_order_unsent: bool,
     is_outcome_unknown: bool,
+    /// Time from which an order of unknown outcome is repeated, in milliseconds.
+    repeat_ms: u64,
     promoted: Option<Name>,
     has_ordered_promotion: bool,
 }
@@ -180,6 +197,8 @@
             members,
             stepped_down: None,
             positions: BTreeMap::new(),
+            highest: BTreeMap::new(),
+            forgetful: BTreeSet::new(),
             refused: BTreeSet::new(),
             list: None,
             has_restarted: false,
@@ -189,6 +208,7 @@
             },
             is_order_unsent: false,
             is_outcome_unknown: false,
+            repeat_ms: 0,
             promoted: None,
             has_ordered_promotion: false,
         }
@@ -204,6 +224,11 @@
         self.stepped_down.is_some()
     }
 
+    /// Whether a member has answered, so that its answer is checked before an order.
+    pub fn has_answered(&self, member: &Name) -> bool {
+        self.positions.contains_key(member)
+    }
+
     /// Member that is known to lead after this attempt.
     pub fn promoted(&self) -> Option<&Name> {
         self.promoted.as_ref()
@@ -214,6 +239,11 @@
         self.has_ordered_promotion
     }
 
+    /// Whether the order has been carried out, and none is still on its way.
+    pub fn has_settled_order(&self) -> bool {
+        self.promoted.is_some() && !self.is_outcome_unknown
+    }
+
     /// Whether other VMs should go first next time: this one could not give an order, or
     /// got no answer that settles it.
     pub fn has_failed_to_order(&self) -> bool {
@@ -245,6 +275,7 @@
                 is_primary: m.is_primary,
                 is_leaving: m.is_leaving || is_refused,
                 is_gone: m.is_gone,
+                is_restarted: m.is_restarted || self.forgetful.contains(&m.member),
                 fenced: fenced.filter(|_| !is_refused),
             }
         });
@@ -337,6 +368,14 @@
     }
 
     fn record(&mut self, member: &Name, received: Position, now_ms: u64) {
+        let highest = self.highest.entry(member.clone()).or_insert(received);
+        let is_empty = received.lsn == Lsn(0) && self.stepped_down.is_some();
+        let known = self.members.iter().find(|m| m.member == *member);
+        let known = known.and_then(|m| m.highest_received);
+        if received < *highest || Some(received) < known || is_empty {
+            self.forgetful.insert(member.clone());
+        }
+        *highest = received.max(*highest);
         let position = self.positions.entry(member.clone());
         position.or_insert((received, now_ms)).0 = received;
     }
@@ -353,7 +392,8 @@
             true => RESTART_MS,
             false => CATCH_UP_MS,
         };
-        let is_early = |(_, at_ms): (Position, u64)| now_ms < at_ms + catch_up_ms;
+        let last_ms = self.started_ms + ATTEMPT_MS - LAST_ROUND_MS;
+        let is_early = |(_, at_ms): (Position, u64)| now_ms < last_ms.min(at_ms + catch_up_ms);
         let is_primary = |m: &AttemptMember| m.is_primary && m.member == member;
         match self.members.iter().any(is_primary) && self.stepped_down.is_some_and(is_early) {
             true => Step::Pause,
@@ -396,21 +436,22 @@
         };
         let member = member.clone();
         self.list = list;
-        if self.record_answers(answers, now_ms) {
-            self.step = Step::Resume;
-            return;
-        }
+        let is_replaced = self.record_answers(answers, now_ms);
         let is_unchanged = self.choice() == Choice::Promote(member.clone());
         let is_late = now_ms >= self.started_ms + ATTEMPT_MS;
-        self.step = match (is_late, is_recorded && is_unchanged) {
-            (true, _) => Step::Resume,
-            (false, true) => Step::Promote { member },
+        let holds = is_recorded && is_unchanged && !is_late && !is_replaced;
+        self.repeat_ms = now_ms + REPEAT_MS;
+        self.step = match (holds, self.is_outcome_unknown) {
+            (true, _) => Step::Promote { member },
+            // The earlier order may still be carried out.
+            (false, true) => Step::AwaitLeadership { member },
+            (false, false) if is_late || is_replaced => Step::Resume,
             (false, false) => Step::Fence,
         };
     }
 
     /// Records the end of [`Step::Promote`].
-    pub fn ordered(&mut self, outcome: PromoteOutcome) {
+    pub fn ordered(&mut self, outcome: PromoteOutcome, now_ms: u64) {
         let Step::Promote { member } = &self.step else {
             return;
         };
@@ -421,6 +462,7 @@
             return;
         }
         self.has_ordered_promotion = true;
+        self.repeat_ms = now_ms + REPEAT_MS;
         self.is_outcome_unknown |= outcome == PromoteOutcome::Unknown;
         // A refusal after an order of unknown outcome does not tell that the first one
         // was not carried out.
@@ -445,13 +487,16 @@
                 Step::Resume
             }
             false if now_ms >= self.started_ms + LEADERSHIP_MS => Step::End,
-            false if self.is_outcome_unknown && now_ms < self.started_ms + ATTEMPT_MS => {
-                Step::Promote { member }
-            }
+            false if self.may_repeat(now_ms) => Step::Prepare { member },
             false => Step::AwaitLeadership { member },
         };
     }
 
+    fn may_repeat(&self, now_ms: u64) -> bool {
+        let is_due = now_ms >= self.repeat_ms && now_ms < self.started_ms + ATTEMPT_MS;
+        self.is_outcome_unknown && is_due
+    }
+
     /// Whether replicas may still be ordered to resume: shortly before the claim expires
     /// this is left to the next attempt, which may already have fenced them.
     pub fn may_resume(&self, now_ms: u64) -> bool {
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -15,6 +15,7 @@
         retry::Backoff,
         window::Window,
     },
+    position::Position,
 };
 
 /// Pause after the member refused to open a connection. Opening one costs the
@@ -90,6 +91,8 @@
     pub entry: MemberEntry,
     /// Time since which it is missing from the list, in milliseconds.
     pub unlisted_since_ms: Option<u64>,
+    /// Time at which it was listed as restarted under its id, in milliseconds.
+    pub restarted_ms: Option<u64>,
     /// Time since which it is leaving, in milliseconds.
     pub leaving_since_ms: Option<u64>,
     /// Distance from this VM: 0 same zone, 1 same region, 2 other region.
@@ -118,6 +121,9 @@
     pub window: Window,
     /// The last report, and the time its probe was sent, in microseconds.
     pub report: Option<(u64, StatusReport)>,
+    /// Highest position that it has reported in its term, also before a restart under
+    /// its id.
+    pub highest_received: Option<Position>,
     /// Time the probe in flight was sent, in microseconds.
     pub probe_sent_us: Option<u64>,
     /// Time after which the requested probe must be sent, in microseconds.
@@ -152,6 +158,7 @@
         Member {
             entry,
             unlisted_since_ms: None,
+            restarted_ms: None,
             leaving_since_ms: None,
             distance,
             paths: vec![MemberPath::Direct],
@@ -166,6 +173,7 @@
             running: 0,
             window: Window::default(),
             report: None,
+            highest_received: None,
             probe_sent_us: None,
             probe_after_us: None,
             probe_requested_us: None,
@@ -218,6 +226,12 @@
             true => self.fenced_since_us.or(Some(asked_us)),
             false => None,
         };
+        // A new primary may have rolled back what was ahead of it.
+        let is_new_term = self.report.is_some_and(|(_, last)| last.term < report.term);
+        self.highest_received = match is_new_term {
+            true => Some(report.received),
+            false => self.highest_received.max(Some(report.received)),
+        };
         self.report = Some((asked_us, report));
     }
 
@@ -245,6 +259,11 @@
         self.idle.clear();
     }
 
+    /// Whether it answers probes, and is not too busy to report.
+    pub fn gives_reports(&self) -> bool {
+        self.failures == 0 && self.probe_refusals == 0 && self.open_refusals == 0
+    }
+
     /// Whether it refused to open a connection shortly before.
     pub fn refuses_connections(&self, now_ms: u64) -> bool {
         self.open_refusals > 0 && now_ms < self.open_after_ms
@@ -280,6 +299,13 @@
         self.failures > 0 && since_ms.is_some_and(|at| now_ms >= at + GONE_MS)
     }
 
+    /// Whether it has restarted under its id so recently that a primary which does not
+    /// answer may come back with commits that it has forgotten.
+    pub fn is_restarted(&self, now_ms: u64) -> bool {
+        let at_ms = self.restarted_ms;
+        at_ms.is_some_and(|at_ms| now_ms < at_ms + GONE_MS)
+    }
+
     /// Whether its address has answered as another member for some time.
     pub fn is_displaced(&self, now_ms: u64) -> bool {
         let since_ms = self.displaced_since_ms;
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -29,6 +29,8 @@
 
 /// Pause between two rounds of orders.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between two rounds of orders while a promotion is carried out.
+const KEEP_PAUSE: Duration = Duration::from_millis(100);
 /// Time that the order to step down has before the other members are fenced as well.
 /// Replicas that are not fenced receive what a primary that steps down had sent.
 const HEAD_START: Duration = Duration::from_millis(200);
@@ -44,12 +46,17 @@
     pub is_leaving: bool,
     /// Whether it counts as permanently gone.
     pub is_gone: bool,
+    /// Whether it has restarted under its id shortly before.
+    pub is_restarted: bool,
+    /// Highest position that it has reported to this VM in its term.
+    pub highest_received: Option<Position>,
     /// Whether its address has answered as another member for so long that this
     /// member can't be the one there, restarted under an id not listed yet.
     pub is_displaced: bool,
 }
 
 /// Input of an attempt.
+#[derive(Clone)]
 pub struct TakeoverPlan {
     /// Context of the service.
     pub context: ServiceContext,
@@ -97,10 +104,15 @@
         promoted,
         has_failed_to_order: attempt.has_failed_to_order(),
     });
-    // After a promotion order the claim is kept until it expires, so that no other
-    // VM gives a conflicting order soon after.
-    if let Some(claim) = claim.filter(|_| !attempt.has_ordered_promotion()) {
+    let Some(claim) = claim else {
+        return;
+    };
+    // After a promotion order the claim is kept until it expires, so that no other VM
+    // gives a conflicting order soon after. This VM may, once the order is settled.
+    if !attempt.has_ordered_promotion() {
         (authority.release)(service, claim).await;
+    } else if attempt.has_settled_order() {
+        (authority.record_order)(service, claim, None).await;
     }
 }
 
@@ -112,6 +124,8 @@
     started_ms: u64,
 ) -> Claim {
     let orders = Orders::new(plan.context.clone());
+    // Ends when dropped.
+    let mut keeper = None;
     loop {
         match attempt.step().clone() {
             Step::Fence => {
@@ -139,7 +153,8 @@
             Step::Prepare { member } => {
                 let service = plan.context.service.clone();
                 let authority = &plan.context.options.authority;
-                let record = (authority.record_order)(service, claim.clone(), member);
+                let record = (authority.record_order)(service, claim.clone(), Some(member));
+                // Also where the primary has stepped down: after a crash it leads again.
                 let fencing = check_fences(plan, attempt, &orders);
                 let (recorded, answers, list) = join3(record, fencing, plan.read_list()).await;
                 let is_recorded = recorded.is_some();
@@ -148,14 +163,21 @@
                 attempt.prepared(is_recorded, &answers, list, clock::boot_ms());
             }
             Step::Promote { member } => {
+                if keeper.is_none() {
+                    keeper = Some(compio::runtime::spawn(keep_fenced(
+                        plan.clone(),
+                        member.clone(),
+                    )));
+                }
                 let outcome = promote(plan, &claim, &member, started_ms + ATTEMPT_MS).await;
-                attempt.ordered(outcome);
+                attempt.ordered(outcome, clock::boot_ms());
             }
             Step::AwaitLeadership { member } => {
                 let leads = leads(plan, &orders, &member).await;
                 attempt.awaited(leads, clock::boot_ms());
             }
             Step::Resume => {
+                keeper = None;
                 resume(plan, attempt, &orders).await;
                 attempt.resumed();
             }
@@ -172,6 +194,8 @@
             is_primary: m.is_primary,
             is_leaving: m.is_leaving,
             is_gone: m.is_gone,
+            is_restarted: m.is_restarted,
+            highest_received: m.highest_received,
         });
         members.collect()
     }
@@ -228,22 +252,54 @@
     answers
 }
 
-/// Checks right before an order that what was chosen by still holds.
+/// Goes on ordering the primary to step down and the others to stop receiving while a
+/// promotion is carried out: the primary may be reached again or come back after a
+/// crash, and a member that restarts forgets its fence.
+async fn keep_fenced(plan: TakeoverPlan, promoted: Name) {
+    let orders = Orders::new(plan.context.clone());
+    loop {
+        compio::time::sleep(KEEP_PAUSE).await;
+        let others = order_others(&plan, &orders, false);
+        let is_replaced = |m: &&GroupMember| m.is_primary && m.target.member != promoted;
+        match plan.members.iter().find(is_replaced) {
+            Some(primary) => {
+                join(step_down::order(&plan, &orders, primary), others).await;
+            }
+            None => {
+                others.await;
+            }
+        }
+    }
+}
+
+/// Checks right before an order that those are fenced by whose answers it was chosen.
 async fn check_fences(
     plan: &TakeoverPlan,
     attempt: &Attempt,
     orders: &Orders,
 ) -> BTreeMap<Name, OrderAnswer> {
-    order_others(plan, orders, attempt.has_stepped_down()).await
+    let has_answered = |m: &&GroupMember| attempt.has_answered(&m.target.member);
+    let members = plan.members.iter().filter(has_answered);
+    order_all(plan, orders, members, false).await
 }
 
-/// Fences all members but the primary, or asks them for their positions, in parallel.
+/// Fences all members but the primary, or asks them for their positions.
 async fn order_others(
     plan: &TakeoverPlan,
     orders: &Orders,
     only_asks: bool,
 ) -> BTreeMap<Name, OrderAnswer> {
-    let others = plan.members.iter().filter(|m| !m.is_primary);
+    order_all(plan, orders, plan.members.iter(), only_asks).await
+}
+
+/// Fences members, but no primary, or asks them for their positions, in parallel.
+async fn order_all<'a>(
+    plan: &TakeoverPlan,
+    orders: &Orders,
+    members: impl Iterator<Item = &'a GroupMember>,
+    only_asks: bool,
+) -> BTreeMap<Name, OrderAnswer> {
+    let others = members.filter(|m| !m.is_primary);
     let answers = others.map(|m| async move {
         let order = match only_asks {
             true => MemberRequest::Status,
