--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -31,17 +31,19 @@
     pub send_until_ms: u64,
 }
 
+/// A claim that is on its way.
+pub type PendingClaim = LocalBoxFuture<'static, Option<Claim>>;
+
 /// Functions that decide which VM may replace a primary, and that promote members.
 #[derive(Clone)]
 pub struct Authority {
     /// Claims the right for a service; `None` when another VM holds it or the
     /// platform does not answer.
-    pub claim: Rc<dyn Fn(Name) -> LocalBoxFuture<'static, Option<Claim>>>,
+    pub claim: Rc<dyn Fn(Name) -> PendingClaim>,
     /// Records in the claim which member is to be ordered, or that no order is open any
     /// more, and returns the claim with its new fence; `None` when the claim is lost or the
     /// platform does not answer.
-    pub record_order:
-        Rc<dyn Fn(Name, Claim, Option<Name>) -> LocalBoxFuture<'static, Option<Claim>>>,
+    pub record_order: Rc<dyn Fn(Name, Claim, Option<Name>) -> PendingClaim>,
     /// Reads the member list and applies it; `None` when the platform does not answer.
     pub read_members: Rc<dyn Fn() -> LocalBoxFuture<'static, Option<ListRead>>>,
     /// Gives up the claim.
