End the fences of a refused order before another member is ordered

Callers could see a primary that steps down right after its promotion: the task which keeps the group fenced during an order was started once an attempt, and knew the first member ordered. After a refusal (409) another member is ordered; if that is the old primary, it was told to step down again once it led, where the term of the attempt is above that of the promotion. The task now ends with the next look at the members.

--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -134,6 +134,8 @@
     loop {
         match attempt.step().clone() {
             Step::Fence => {
+                // After a refusal another member may be ordered, the old primary included.
+                keeper = None;
                 let fencing = fence(plan, attempt, &orders);
                 let (answers, list) = join(fencing, plan.read_list()).await;
                 plan.refresh_members(attempt).await;
