Fence members that are listed while a promotion order is open

A new member that was listed after the order had no fence: the old primary, back after a crash or reached again, could acknowledge commits with it which the promoted member lacks. With orders that may be open for long this matters more. The task that keeps the group fenced now asks the service for its present members in each round.

--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -248,9 +248,16 @@
         (self.context.options.authority.read_members)().await
     }
 
+    /// Replaces the members of the plan and of its attempt by those that the service knows
+    /// now.
+    async fn refresh_members(&mut self, attempt: &mut Attempt) {
+        self.refresh().await;
+        attempt.update_members(self.attempt_members());
+    }
+
     /// Replaces the members by those that the service knows now. The primary to be
     /// replaced stays the same.
-    async fn refresh_members(&mut self, attempt: &mut Attempt) {
+    async fn refresh(&mut self) {
         let (reply, members) = oneshot::channel();
         self.context.send(ServiceMessage::GroupMembers { reply });
         let Ok(mut members) = members.await else {
@@ -268,7 +275,6 @@
             );
         }
         self.members = members;
-        attempt.update_members(self.attempt_members());
     }
 }
 
@@ -298,11 +304,12 @@
 
 /// Goes on ordering the primary to step down and the others to stop receiving while a
 /// promotion is carried out: the primary may be reached again or come back after a
-/// crash, and a member that restarts forgets its fence.
-async fn keep_fenced(plan: TakeoverPlan, promoted: Name) {
+/// crash, a member that restarts forgets its fence, and one that starts has none.
+async fn keep_fenced(mut plan: TakeoverPlan, promoted: Name) {
     let orders = Orders::new(plan.context.clone());
     loop {
         compio::time::sleep(KEEP_PAUSE).await;
+        plan.refresh().await;
         let others = order_others(&plan, &orders, false);
         let is_replaced = |m: &&GroupMember| m.is_primary && m.target.member != promoted;
         match plan.members.iter().find(is_replaced) {
