Promote a member that stays once a leaving primary has stepped down

The one that had stepped down counted as one more replica, and as the most advanced it was promoted again, although it was about to leave; 1.3 s after it led, it was replaced.

Cause: that a member has led the present term was forgotten as soon as it reported to be a replica. What a primary holds and no other member has was never acknowledged; of a replica that can't be said. A VM now remembers who led last, and in which term, and plans the next attempt with it as the primary to be replaced.

The search over orderings has the same memory.

--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -93,6 +93,8 @@
     started_ms: u64,
     members: BTreeMap<Name, Member>,
     primary: Option<Name>,
+    /// Member that led last, and its term.
+    last_primary: Option<(Name, u64)>,
     /// Time at which the primary was lost, or the task started.
     primary_missing_since_ms: u64,
     waiting_primary: Vec<Acquire>,
@@ -154,6 +156,7 @@
         started_ms: clock::boot_ms(),
         members: BTreeMap::new(),
         primary: None,
+        last_primary: None,
         primary_missing_since_ms: clock::boot_ms(),
         waiting_primary: Vec::new(),
         waiting_floor: Vec::new(),
@@ -248,7 +251,7 @@
             }
             ServiceMessage::GroupMembers { reply } => {
                 // The attempt may have ended meanwhile.
-                let _ = reply.send(self.group_members());
+                let _ = reply.send(self.group_members(self.primary.as_ref()));
             }
             ServiceMessage::TakeoverEnded {
                 promoted,
@@ -342,8 +345,9 @@
             before = self.primary.as_deref().unwrap_or("none"),
             term = self.highest_term(); "primary changed"
         );
-        if found.is_none() {
-            self.primary_missing_since_ms = clock::boot_ms();
+        match &found {
+            Some(id) => self.last_primary = Some((id.clone(), self.highest_term())),
+            None => self.primary_missing_since_ms = clock::boot_ms(),
         }
         self.stuck_commit = None;
         self.primary = found;
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -174,8 +174,23 @@
         self.context.options.is_first_start || now_ms >= self.started_ms + GONE_MS
     }
 
-    /// The group's members, as input for a takeover.
-    pub(super) fn group_members(&self) -> Vec<GroupMember> {
+    /// The primary, or the member that has led the present term and has stepped down: what
+    /// it holds and no other member has was never acknowledged.
+    fn replaced_primary(&self) -> Option<&Name> {
+        let highest_term = self.highest_term();
+        let now_ms = clock::boot_ms();
+        let last = self.last_primary.as_ref();
+        let last = last.filter(|(_, term)| *term == highest_term);
+        let is_known = |id: &&Name| {
+            let member = self.members.get(*id);
+            member.is_some_and(|m| !m.is_restarted(now_ms))
+        };
+        let former = last.map(|(id, _)| id).filter(is_known);
+        self.primary.as_ref().or(former)
+    }
+
+    /// The group's members, as input for a takeover that replaces `primary`.
+    pub(super) fn group_members(&self, primary: Option<&Name>) -> Vec<GroupMember> {
         let now_ms = clock::boot_ms();
         let members = self.members.iter().map(|(id, m)| GroupMember {
             target: Target {
@@ -184,7 +199,7 @@
                 path: MemberPath::Direct,
                 address: m.entry.address,
             },
-            is_primary: self.primary.as_ref() == Some(id),
+            is_primary: primary == Some(id),
             is_leaving: m.is_departing(now_ms),
             is_gone: m.is_gone(now_ms),
             is_restarted: m.is_restarted(now_ms),
@@ -197,18 +212,19 @@
     fn start_takeover(&mut self, reason: Reason, health: &PrimaryHealth) {
         decision!(
             "takeover", service = &*self.context.service,
-            primary = self.primary.as_deref().unwrap_or("none"),
+            primary = self.replaced_primary().map_or("none", |id| &**id),
             reason = reason.to_string(), silent_ms = health.silent_ms,
             failures = health.failures, stuck_ms = health.stuck_ms,
             held_ms = health.fenced_ms, term = self.highest_term();
             "replacing the primary"
         );
+        let primary = self.replaced_primary();
         let reports = self.members.values().filter_map(|m| m.report);
         let highest = reports.map(|(_, r)| r.term.max(r.held_term)).max();
         let plan = TakeoverPlan {
             context: self.context.clone(),
-            members: self.group_members(),
-            relayed: self.relayed_targets(),
+            members: self.group_members(primary),
+            relayed: self.relayed_targets(primary),
             is_primary_silent: health.failures > 0,
             term: highest.unwrap_or(0) + 1,
             highest_term: self.highest_term(),
@@ -221,8 +237,8 @@
 
     /// Paths to the primary through other VMs: those of the VMs that are to connect to it
     /// first, the others in random order.
-    fn relayed_targets(&self) -> Vec<Target> {
-        let Some(primary) = &self.primary else {
+    fn relayed_targets(&self, primary: Option<&Name>) -> Vec<Target> {
+        let Some(primary) = primary else {
             return Vec::new();
         };
         let known = self.members.get(primary).map(Member::paths);
--- a/tests/takeover_orderings/disturb.rs
+++ b/tests/takeover_orderings/disturb.rs
@@ -128,6 +128,7 @@
         self.vms[vm] = Vm {
             known: Default::default(),
             primary: None,
+            last_primary: None,
             missing_since_ms: self.now_ms,
             knows_departed: false,
             ..Vm::new(vm)
--- a/tests/takeover_orderings/vm.rs
+++ b/tests/takeover_orderings/vm.rs
@@ -58,6 +58,8 @@
     pub known: BTreeMap<usize, Known>,
     /// Member that it takes for the primary.
     pub primary: Option<usize>,
+    /// Member that led last, and its term.
+    pub last_primary: Option<(usize, u64)>,
     /// Time since which the primary has not answered, in milliseconds.
     pub silent_since_ms: Option<u64>,
     /// Time since which no primary is known, in milliseconds.
@@ -86,6 +88,7 @@
                 .map(|member| (member, Known::first(member)))
                 .collect(),
             primary: Some(0),
+            last_primary: Some((0, 1)),
             silent_since_ms: None,
             missing_since_ms: 0,
             away_at_ms: None,
@@ -109,6 +112,13 @@
         reports.map(|report| report.term).max().unwrap_or(0)
     }
 
+    /// The primary, or the member that has led the present term and has stepped down.
+    pub fn replaced_primary(&self) -> Option<usize> {
+        let highest_term = self.highest_reported_term();
+        let last = self.last_primary.filter(|(_, term)| *term == highest_term);
+        self.primary.or(last.map(|(member, _)| member))
+    }
+
     /// The member that leads the highest term of which a member has reported.
     pub fn find_primary(&self) -> Option<usize> {
         let reports = self.known.iter();
--- a/tests/takeover_orderings/watch.rs
+++ b/tests/takeover_orderings/watch.rs
@@ -113,6 +113,9 @@
             known.missing_since_ms = now_ms;
         }
         known.primary = primary;
+        if let Some(primary) = primary {
+            known.last_primary = Some((primary, known.highest_reported_term()));
+        }
         match primary.is_none_or(|primary| reached.contains(&primary)) {
             true => known.silent_since_ms = None,
             false => _ = known.silent_since_ms.get_or_insert(now_ms),
@@ -180,7 +183,9 @@
 
     fn start_attempt(&mut self, vm: usize, reason: Reason) {
         let known = &self.vms[vm];
-        let primary = known.primary.filter(|p| known.known.contains_key(p));
+        let primary = known.replaced_primary();
+        let primary = primary.filter(|p| known.known.contains_key(p));
+        let primary = primary.filter(|p| !self.is_listed_as_restarted(*p));
         self.note(|w| {
             let primary = primary.map_or("none", |p| &*w.members[p].name);
             format!("vm-{vm} starts an attempt: {reason}, primary {primary}")
