Do not promote a stepped-down primary that has lost its log

Callers may lose acknowledged commits (LOST): a primary that had stepped down was ordered to lead again by the position that it had told up to 1.5 s before. If it restarts under its id meanwhile, which the platform allows ("It then holds and knows nothing of before"), an empty member is promoted. A primary that restarted before it answered counted as one whose log has everything.

It is asked again now if it is the one to be promoted, and a position below one that it has told says that its log is gone.

stepped_down_primary_leads_again_only_with_its_log and primary_that_restarted_without_its_log_has_not_stepped_down failed before.

--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -339,8 +339,7 @@
         if let Some(answer) = primary.as_ref().and_then(|primary| answers.get(primary))
             && let OrderAnswer::Fenced { received } = *answer
         {
-            let since_ms = self.stepped_down.map_or(now_ms, |(_, since_ms)| since_ms);
-            self.stepped_down = Some((received, since_ms));
+            self.record_step_down(primary.as_ref(), received, now_ms);
         }
         for (member, answer) in answers {
             let is_primary = Some(member) == primary.as_ref();
@@ -363,11 +362,28 @@
         is_replaced
     }
 
+    /// Highest position that a member has reported before the attempt.
+    fn known_position(&self, member: Option<&Name>) -> Option<Position> {
+        let known = self.members.iter().find(|m| Some(&m.member) == member);
+        known.and_then(|m| m.highest_received)
+    }
+
+    /// Records that the primary has stepped down. One that holds less than before has
+    /// restarted without its log.
+    fn record_step_down(&mut self, primary: Option<&Name>, received: Position, now_ms: u64) {
+        let told_before = self.stepped_down.map(|(received, _)| received);
+        if Some(received) < told_before.max(self.known_position(primary)) {
+            self.forgetful.extend(primary.cloned());
+            return;
+        }
+        let since_ms = self.stepped_down.map_or(now_ms, |(_, since_ms)| since_ms);
+        self.stepped_down = Some((received, since_ms));
+    }
+
     fn record(&mut self, member: &Name, received: Position, now_ms: u64) {
+        let known = self.known_position(Some(member));
         let highest = self.highest.entry(member.clone()).or_insert(received);
         let is_empty = received.lsn == Lsn(0) && self.stepped_down.is_some();
-        let known = self.members.iter().find(|m| m.member == *member);
-        let known = known.and_then(|m| m.highest_received);
         if received < *highest || Some(received) < known || is_empty {
             self.forgetful.insert(member.clone());
         }
@@ -478,8 +494,12 @@
         self.list = list;
         let is_replaced = self.record_answers(answers, now_ms);
         let is_unchanged = self.choice() == Choice::Promote(member.clone());
+        // What it has told before it may have forgotten.
+        let is_primary = |m: &AttemptMember| m.is_primary && m.member == member;
+        let has_answered = matches!(answers.get(&member), Some(OrderAnswer::Fenced { .. }));
+        let is_confirmed = has_answered || !self.members.iter().any(is_primary);
         let is_late = self.is_late(now_ms);
-        let holds = is_recorded && is_unchanged && !is_late && !is_replaced;
+        let holds = is_recorded && is_unchanged && is_confirmed && !is_late && !is_replaced;
         self.repeat_ms = now_ms + REPEAT_MS;
         self.step = match holds {
             true => Step::Promote { member },
--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -83,10 +83,12 @@
     let all_answered = knowledge.knows_departed && others().all(has_answered);
     let knows_all = all_answered && knowledge.is_list_complete;
     let primary_fenced = primary.and_then(|p| p.fenced);
+    // Without its log it has nothing of what it acknowledged before it stepped down.
+    let stays_usable = primary.is_some_and(|p| p.fenced.is_some() && !p.is_restarted);
     let best = answered().max_by_key(|c| (c.fenced.map(received), !c.is_leaving));
     let Some(best) = best else {
-        return match (primary, primary_fenced) {
-            (Some(primary), Some(_)) if !knows_all || others().next().is_none() => {
+        return match primary.filter(|_| stays_usable) {
+            Some(primary) if !knows_all || others().next().is_none() => {
                 Choice::Promote(primary.member.clone())
             }
             _ => Choice::Wait(WaitReason::NobodyFenced),
@@ -95,31 +97,24 @@
     let is_as_advanced = primary_fenced
         .is_some_and(|at_primary| best.fenced.map(received) >= Some(at_primary.received));
     if knows_all || is_as_advanced {
-        return Choice::Promote(prefer_staying(candidates, best, primary_fenced));
+        return Choice::Promote(prefer_staying(best, primary.filter(|_| stays_usable)));
     }
-    match (primary, primary_fenced) {
-        (Some(primary), Some(_)) => Choice::Promote(primary.member.clone()),
-        _ if all_answered => Choice::Wait(WaitReason::ListIncomplete),
-        _ => Choice::Wait(WaitReason::PrimaryMayAcknowledge),
+    match primary.filter(|_| stays_usable) {
+        Some(primary) => Choice::Promote(primary.member.clone()),
+        None if all_answered => Choice::Wait(WaitReason::ListIncomplete),
+        None => Choice::Wait(WaitReason::PrimaryMayAcknowledge),
     }
 }
 
 /// Returns `best`, or if it is leaving, the primary, provided that it stepped
 /// down and stays.
-fn prefer_staying(
-    candidates: &[Candidate],
-    best: &Candidate,
-    primary_fenced: Option<Fenced>,
-) -> Name {
+fn prefer_staying(best: &Candidate, stepped_down: Option<&Candidate>) -> Name {
     if !best.is_leaving {
         return best.member.clone();
     }
     // A primary that stepped down has everything that its replicas have.
-    let primary = candidates.iter().find(|c| c.is_primary && !c.is_leaving);
-    match (primary, primary_fenced) {
-        (Some(primary), Some(_)) => primary.member.clone(),
-        _ => best.member.clone(),
-    }
+    let chosen = stepped_down.filter(|primary| !primary.is_leaving);
+    chosen.unwrap_or(best).member.clone()
 }
 
 fn received(fenced: Fenced) -> Position {
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -169,14 +169,14 @@
             }
             Step::Prepare { member } => {
                 let order = OrderRecord {
-                    member,
+                    member: member.clone(),
                     term: (!attempt.has_open_order()).then_some(plan.highest_term),
                 };
                 let service = plan.context.service.clone();
                 let authority = &plan.context.options.authority;
                 let record = (authority.record_order)(service, claim.clone(), Some(order));
                 // Also where the primary has stepped down: after a crash it leads again.
-                let fencing = check_fences(plan, attempt, &orders);
+                let fencing = check_fences(plan, attempt, &orders, &member);
                 let (recorded, answers, list) = join3(record, fencing, plan.read_list()).await;
                 let is_recorded = recorded.is_some();
                 claim = recorded.unwrap_or(claim);
@@ -323,15 +323,25 @@
     }
 }
 
-/// Checks right before an order that those are fenced by whose answers it was chosen.
+/// Checks right before an order that those are fenced by whose answers `chosen` was chosen,
+/// and that a primary which is to lead again still has its log.
 async fn check_fences(
     plan: &TakeoverPlan,
     attempt: &Attempt,
     orders: &Orders,
+    chosen: &Name,
 ) -> BTreeMap<Name, OrderAnswer> {
     let has_answered = |m: &&GroupMember| attempt.has_answered(&m.target.member);
     let members = plan.members.iter().filter(has_answered);
-    order_all(plan, orders, members, false).await
+    let others = order_all(plan, orders, members, false);
+    let is_chosen = |m: &&GroupMember| m.is_primary && m.target.member == *chosen;
+    let Some(primary) = plan.members.iter().find(is_chosen) else {
+        return others.await;
+    };
+    let step_down = step_down::order(plan, orders, primary);
+    let (mut answers, answer) = join(others, step_down).await;
+    answers.insert(chosen.clone(), answer);
+    answers
 }
 
 /// Fences all members but the primary, or asks them for their positions.
--- a/tests/decide_attempt.rs
+++ b/tests/decide_attempt.rs
@@ -19,13 +19,18 @@
 const LISTED_MS: u64 = START_MS + 800;
 
 fn attempt() -> Attempt {
+    attempt_with(None)
+}
+
+/// An attempt by a VM to which the primary has reported a position.
+fn attempt_with(reported: Option<Position>) -> Attempt {
     let member = |name: &str| AttemptMember {
         member: name.into(),
         is_primary: name == "primary",
         is_leaving: false,
         is_gone: false,
         is_restarted: false,
-        highest_received: None,
+        highest_received: reported.filter(|_| name == "primary"),
     };
     let members = ["primary", "ahead", "behind"].map(member);
     Attempt::new(START_MS, Reason::Silent, true, members.to_vec())
@@ -68,6 +73,50 @@
     matches!(attempt.step(), Step::AwaitLeadership { member } if &**member == "ahead")
 }
 
+/// It reports less than before: its log says nothing about what was acknowledged.
+#[test]
+fn primary_that_restarted_without_its_log_has_not_stepped_down() {
+    let mut attempt = attempt_with(Some(Position::new(1, Lsn(8))));
+    let empty = OrderAnswer::Fenced {
+        received: Position::new(1, Lsn(0)),
+    };
+    let only_behind = [("primary", empty), ("behind", fenced()["behind"])];
+    let answers = only_behind.map(|(name, answer)| (name.into(), answer));
+    attempt.fenced(&answers.into(), list(), START_MS + 100);
+    assert!(!attempt.has_stepped_down());
+    assert_eq!(*attempt.step(), Step::Pause);
+}
+
+/// A primary that stepped down is ordered to lead again; by then it may have restarted.
+#[parameterized(
+    has_its_log = { Some(9), true },
+    without_its_log = { Some(0), false },
+    silent = { None, false },
+)]
+fn stepped_down_primary_leads_again_only_with_its_log(told: Option<u64>, expected: bool) {
+    let at = |lsn: u64| Position::new(1, Lsn(lsn));
+    let behind = |received: Position| OrderAnswer::Receiving { received };
+    let mut answers: BTreeMap<Name, OrderAnswer> = BTreeMap::new();
+    answers.insert("primary".into(), OrderAnswer::Fenced { received: at(9) });
+    answers.insert("behind".into(), behind(at(7)));
+    let mut attempt = attempt();
+    attempt.fenced(&answers, list(), START_MS + 100);
+    attempt.paused(START_MS + 1_600);
+    answers.remove(&Name::from("primary"));
+    attempt.fenced(&answers, list(), START_MS + 1_600);
+    attempt.connected(true, START_MS + 1_600);
+    assert!(matches!(attempt.step(), Step::Prepare { member } if &**member == "primary"));
+    if let Some(lsn) = told {
+        answers.insert("primary".into(), OrderAnswer::Fenced { received: at(lsn) });
+    }
+    attempt.prepared(true, &answers, list(), START_MS + 1_700);
+    assert_eq!(matches!(attempt.step(), Step::Promote { .. }), expected);
+    attempt.fenced(&answers, list(), START_MS + 1_750);
+    if told == Some(0) {
+        assert_eq!(*attempt.step(), Step::Pause);
+    }
+}
+
 #[test]
 fn order_without_a_connection_is_not_recorded() {
     let mut attempt = attempt();
--- a/tests/takeover_orderings/alphabet.rs
+++ b/tests/takeover_orderings/alphabet.rs
@@ -20,6 +20,7 @@
     let cut = |from, to, for_ms| Kind::Cut { from, to, for_ms };
     vec![
         Kind::Start,
+        Kind::Restart { member: 0 },
         Kind::Restart { member: 1 },
         Kind::Restart { member: 2 },
         Kind::Crash { for_ms: 1_000 },
@@ -132,9 +133,7 @@
     };
     let kind = match rng.random_range(0..17) {
         0 | 1 => Kind::Start,
-        2 => Kind::Restart {
-            member: 1 + member % 2,
-        },
+        2 => Kind::Restart { member: member % 3 },
         3 => Kind::Crash { for_ms },
         4 => Kind::Busy { member, for_ms },
         5 => Kind::Unlist { member: member % 3 },
--- a/tests/takeover_orderings/disturb.rs
+++ b/tests/takeover_orderings/disturb.rs
@@ -8,7 +8,7 @@
 
 /// A cut that outlasts the simulation, in milliseconds.
 const LONG_MS: u64 = 20_000;
-/// Time for which a replica that restarts is down, in milliseconds.
+/// Time for which a member that restarts is down, in milliseconds.
 const RESTART_MS: u64 = 100;
 /// Time for which a VM that was killed is down, in milliseconds.
 const VM_RESTART_MS: u64 = 400;
@@ -86,7 +86,7 @@
         self.after(for_ms, Event::Run { member });
     }
 
-    /// A replica loses its log. This is left out where no promotion could keep the
+    /// A member loses its log. This is left out where no promotion could keep the
     /// acknowledged commits: nobody else that runs has them, or its promotion has been
     /// decided or ordered, and takes effect without it.
     fn restart(&mut self, member: usize) {
@@ -108,13 +108,15 @@
         let mut running = others.filter(|(index, m)| *index != member && m.is_running);
         let is_kept = running.any(|(_, m)| has_all(&m.log));
         let known = &self.members[member];
-        if !known.is_running || known.role == Role::Primary || is_ordered || is_decided || !is_kept
-        {
+        if !known.is_running || is_ordered || is_decided || !is_kept {
             self.note(|_| "left out".into());
             return;
         }
         let replica = &mut self.members[member];
         replica.is_running = false;
+        replica.role = Role::Replica;
+        replica.follows = None;
+        replica.waiting.clear();
         replica.log.clear();
         replica.log_term = 0;
         replica.held_term = 0;
--- a/tests/takeover_orderings/disturbance.rs
+++ b/tests/takeover_orderings/disturbance.rs
@@ -16,7 +16,7 @@
 pub enum Kind {
     /// The new member starts and receives at once.
     Start,
-    /// A replica restarts without its log; it is down for 100 ms.
+    /// A member restarts without its log, as a replica; it is down for 100 ms.
     Restart { member: usize },
     /// The primary crashes, and comes back with its log.
     Crash { for_ms: u64 },
--- a/tests/takeover_orderings/driver.rs
+++ b/tests/takeover_orderings/driver.rs
@@ -124,8 +124,12 @@
                 if !keeps_list {
                     self.call(vm, Request::ReadList);
                 }
+                let is_primary = primary.is_some_and(|p| self.members[p].name == member);
                 self.record_order(vm, member);
                 self.order_others(vm, false);
+                if let Some(member) = primary.filter(|_| is_primary) {
+                    self.call(vm, Request::Status { member });
+                }
             }
             // A path that is cut later counts as open.
             Step::Connect { .. } => self.end_step(vm),
