--- a/src/relay/takeover/step_down.rs
+++ b/src/relay/takeover/step_down.rs
@@ -4,7 +4,7 @@
 
 use futures::{StreamExt, future::FutureExt, stream::FuturesUnordered};
 
-use super::{GroupMember, OrderAnswer, TakeoverPlan, orders::Orders};
+use super::{GroupMember, OrderAnswer, TakeoverPlan, fences, orders::Orders};
 use crate::{decision_log::decision, prelude::*, relay::MemberRequest};
 
 /// Time after which other VMs are asked as well, unless the primary was silent before.
@@ -14,7 +14,7 @@
 /// succeeded or all have failed.
 pub async fn order(plan: &TakeoverPlan, orders: &Orders, primary: &GroupMember) -> OrderAnswer {
     let order = &MemberRequest::StepDown { term: plan.term };
-    let direct = super::order_member(plan, orders, primary, order).boxed_local();
+    let direct = fences::order_member(plan, orders, primary, order).boxed_local();
     let mut paths: FuturesUnordered<_> = [direct].into_iter().collect();
     for target in &plan.relayed {
         let relayed = async move {
@@ -27,7 +27,7 @@
             };
             // Each VM has connections of its own, so that none is taken for another.
             let own_orders = Orders::new(plan.context.clone());
-            let answer = super::order_member(plan, &own_orders, &through, order).await;
+            let answer = fences::order_member(plan, &own_orders, &through, order).await;
             // That a VM does not reach the primary says nothing about the primary.
             match answer {
                 OrderAnswer::Fenced { .. } => answer,
