Search orderings with members that read orders late

Related path of the late promotion order: PAUSE, STEPDOWN and RESUME that a member reads after their sender has given up and reset.

--- a/tests/takeover_orderings/alphabet.rs
+++ b/tests/takeover_orderings/alphabet.rs
@@ -28,6 +28,14 @@
             member: 2,
             for_ms: 600,
         },
+        Kind::MemberReadsLate {
+            member: 0,
+            for_ms: 1_500,
+        },
+        Kind::MemberReadsLate {
+            member: 2,
+            for_ms: 3_000,
+        },
         Kind::Unlist { member: 2 },
         Kind::Freeze {
             vm: 0,
@@ -131,7 +139,7 @@
         true => (Node::Member(0), Node::Member(1 + member % 3)),
         false => (vm_node, partner),
     };
-    let kind = match rng.random_range(0..17) {
+    let kind = match rng.random_range(0..19) {
         0 | 1 => Kind::Start,
         2 => Kind::Restart { member: member % 3 },
         3 => Kind::Crash { for_ms },
@@ -153,6 +161,7 @@
         12 => Kind::StoreAway { for_ms },
         13 => Kind::StoreHoldsWrites { for_ms },
         14 | 15 => Kind::PromotionReadsLate { for_ms },
+        16 | 17 => Kind::MemberReadsLate { member, for_ms },
         _ => Kind::PromotionSlow { for_ms },
     };
     Disturbance { at_ms, kind }
--- a/tests/takeover_orderings/disturb.rs
+++ b/tests/takeover_orderings/disturb.rs
@@ -53,6 +53,9 @@
             Kind::Restart { member } => self.restart(member),
             Kind::Crash { for_ms } => self.crash(0, for_ms),
             Kind::Busy { member, for_ms } => self.members[member].busy_until_ms = now_ms + for_ms,
+            Kind::MemberReadsLate { member, for_ms } => {
+                self.members[member].reads_from_ms = now_ms + for_ms;
+            }
             Kind::Unlist { member } => self.members[member].is_listed = false,
             Kind::Freeze { vm, for_ms } => {
                 if self.is_awake(vm) {
--- a/tests/takeover_orderings/disturbance.rs
+++ b/tests/takeover_orderings/disturbance.rs
@@ -22,6 +22,9 @@
     Crash { for_ms: u64 },
     /// A member is too busy for new orders.
     Busy { member: usize, for_ms: u64 },
+    /// A member stands still: its machine receives orders, which are read at the end, the last
+    /// one first. It goes on receiving the log.
+    MemberReadsLate { member: usize, for_ms: u64 },
     /// A member leaves the list, though it runs.
     Unlist { member: usize },
     /// A VM is suspended.
--- a/tests/takeover_orderings/event.rs
+++ b/tests/takeover_orderings/event.rs
@@ -32,6 +32,8 @@
     ArriveUnawaited(Call),
     /// The promotion service reads an order that its machine has received.
     ReadOrder(Call),
+    /// A member reads an order that its machine has received.
+    ReadCall { member: usize, call: Call },
     /// An answer arrives, or is tried again.
     Answer { call: Call, reply: Reply },
     /// A VM gives a call up.
--- a/tests/takeover_orderings/group.rs
+++ b/tests/takeover_orderings/group.rs
@@ -11,6 +11,9 @@
 
 /// Longest time for which a VM waits for the answer to a commit, in milliseconds.
 const ANSWER_MS: u64 = 3_000;
+/// Time within which the orders are read that came while a member stood still, in
+/// milliseconds.
+const READING_MS: u64 = 50;
 /// Pause between two attempts to deliver an answer that is held up, in milliseconds.
 const RETRY_MS: u64 = 25;
 
@@ -176,6 +179,19 @@
         self.after(lag_ms, Event::CatchUp { member });
     }
 
+    /// An order gets to the machine of a member. What its sender does from now on changes
+    /// nothing.
+    pub fn call_received(&mut self, member: usize, call: Call) {
+        let known = &mut self.members[member];
+        if !known.is_running || self.now_ms >= known.reads_from_ms {
+            self.member_call(member, call);
+            return;
+        }
+        known.unread += 1;
+        let at_ms = known.reads_from_ms + READING_MS.saturating_sub(known.unread);
+        self.push(at_ms, Event::ReadCall { member, call });
+    }
+
     /// Answers an order to a member, or a question.
     pub fn member_call(&mut self, member: usize, call: Call) {
         let now_ms = self.now_ms;
--- a/tests/takeover_orderings/member.rs
+++ b/tests/takeover_orderings/member.rs
@@ -53,6 +53,10 @@
     pub is_listed: bool,
     /// Time until which it refuses new orders, in milliseconds.
     pub busy_until_ms: u64,
+    /// Time from which it reads orders again, in milliseconds.
+    pub reads_from_ms: u64,
+    /// Number of orders that it has received while it did not read.
+    pub unread: u64,
 }
 
 impl Member {
@@ -76,6 +80,8 @@
             is_leaving: false,
             is_listed: index < 3,
             busy_until_ms: 0,
+            reads_from_ms: 0,
+            unread: 0,
         }
     }
 
--- a/tests/takeover_orderings/world.rs
+++ b/tests/takeover_orderings/world.rs
@@ -133,6 +133,7 @@
             Event::Arrive(call) => self.arrive(call),
             Event::ArriveUnawaited(call) => self.arrive_unawaited(call),
             Event::ReadOrder(call) => self.promotion_call(call),
+            Event::ReadCall { member, call } => self.member_call(member, call),
             Event::Answer { call, reply } => self.deliver(call, reply),
             Event::Expire { call } => self.expire(call),
             Event::KeepFenced { vm, order } => self.keep_fenced_during(vm, order),
@@ -267,7 +268,7 @@
         if let Node::Member(member) = call.request.target()
             && is_up
         {
-            self.member_call(member, call);
+            self.call_received(member, call);
         }
     }
 
@@ -285,7 +286,7 @@
             return;
         }
         match call.request.target() {
-            Node::Member(member) => self.member_call(member, call),
+            Node::Member(member) => self.call_received(member, call),
             Node::Promotion => self.order_received(call),
             Node::Store | Node::Vm(_) => self.store_call(call),
         }
