--- a/src/decide/holders.rs
+++ b/src/decide/load/holders.rs
@@ -8,8 +8,8 @@
 
 use std::cmp::Ordering;
 
-use super::{dispatch::connections_for_region, placement::score};
-use crate::prelude::*;
+use super::dispatch::connections_for_region;
+use crate::{decide::placement::score, prelude::*};
 
 /// Minimum number of connections per holder. Paused transactions occupy about
 /// half of them, and a larger pool is less likely to be full by chance.
@@ -114,7 +114,7 @@
 }
 
 /// The `count` VMs with the highest weighted rendezvous scores.
-pub(super) fn ranked(
+pub(in crate::decide) fn ranked(
     key: &str,
     index: usize,
     vms: Vec<(&Name, &VmPlace)>,
--- /dev/null
+++ b/src/decide/load/mod.rs
@@ -0,0 +1,6 @@
+//! Decisions under load: who is served where, who waits, and who is refused.
+
+pub mod admission;
+pub mod dispatch;
+pub mod holders;
+pub mod window;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,17 +4,15 @@
 //! actions are return values.
 
 pub mod acknowledge;
-pub mod admission;
 pub mod age;
 pub mod attempt;
 pub mod barrier;
 pub mod claim;
 pub mod classify;
-pub mod dispatch;
 pub mod failover;
 pub mod floor_news;
-pub mod holders;
 pub mod leadership;
+pub mod load;
 pub mod member;
 pub mod membership;
 pub mod news_sources;
@@ -25,4 +23,3 @@
 pub mod route;
 pub mod table_copy;
 pub mod takeover;
-pub mod window;
--- a/src/decide/news_sources.rs
+++ b/src/decide/news_sources.rs
@@ -5,7 +5,7 @@
 //! VM only informs; whoever acts on a right asks the store for it.
 
 use super::{
-    holders::{VmPlace, ranked},
+    load::holders::{VmPlace, ranked},
     retry::Backoff,
 };
 use crate::prelude::*;
--- a/src/proxy/slot/member.rs
+++ b/src/proxy/slot/member.rs
@@ -2,7 +2,7 @@
 
 use super::Acquire;
 use crate::{
-    decide::{admission::AdmissionQueue, member::MemberView},
+    decide::{load::admission::AdmissionQueue, member::MemberView},
     prelude::*,
     proxy::{connect::ConnectOptions, connection::Connection},
 };
--- a/src/proxy/slot/task.rs
+++ b/src/proxy/slot/task.rs
@@ -15,9 +15,9 @@
     clock,
     decide::{
         acknowledge::{Commit, Decision, acknowledge},
-        admission::{Admission, AdmissionQueue},
         age::AgeTracker,
         barrier::{barrier, primary_barrier},
+        load::admission::{Admission, AdmissionQueue},
         member::{self, MemberView, Observation, Role, asked_after},
         route::{self, Floor, ReadRequest, route},
     },
--- a/src/relay/connection.rs
+++ b/src/relay/connection.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 use super::socket::Socket;
-use crate::{decide::holders::MemberPath, prelude::*, proxy::connection::Permit};
+use crate::{decide::load::holders::MemberPath, prelude::*, proxy::connection::Permit};
 
 /// Variables of a session, set by the caller, by name.
 pub type SessionVariables = BTreeMap<Bytes, Bytes>;
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -8,12 +8,12 @@
 use crate::{
     clock,
     decide::{
-        admission::AdmissionQueue,
-        dispatch::{ConnectionBudget, share_count},
-        holders::MemberPath,
+        load::admission::AdmissionQueue,
+        load::dispatch::{ConnectionBudget, share_count},
+        load::holders::MemberPath,
+        load::window::Window,
         member::Role,
         retry::Backoff,
-        window::Window,
     },
     position::Position,
 };
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -9,7 +9,7 @@
     connection::{Connection, SessionVariables},
     takeover::GroupMember,
 };
-use crate::{decide::holders::MemberPath, prelude::*};
+use crate::{decide::load::holders::MemberPath, prelude::*};
 
 /// How fresh a member's log must be for a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/relay/open.rs
+++ b/src/relay/open.rs
@@ -9,7 +9,7 @@
     MemberCodec, MemberRequest, RelayError, Result, connection::Connection, exchange::read_answer,
     socket::Socket,
 };
-use crate::{decide::holders::MemberPath, prelude::*, proxy::connection::Permit};
+use crate::{decide::load::holders::MemberPath, prelude::*, proxy::connection::Permit};
 
 /// Longest time to open a connection: three round trips to another region, the
 /// member's own work and a full queue there.
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -26,7 +26,7 @@
     clock,
     decide::{
         age::AgeTracker,
-        holders::MemberPath,
+        load::holders::MemberPath,
         member::Role,
         takeover::{Reason, StuckCommit},
     },
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -2,9 +2,9 @@
 
 use super::*;
 use crate::decide::{
-    admission::Admission,
     age::is_floor_due,
-    dispatch::{ReadCandidate, choose_reader, is_cut_off},
+    load::admission::Admission,
+    load::dispatch::{ReadCandidate, choose_reader, is_cut_off},
 };
 use crate::relay::connection::Connection;
 
--- a/src/relay/service/paths.rs
+++ b/src/relay/service/paths.rs
@@ -1,7 +1,7 @@
 //! Paths to the members: direct, or through VMs that hold connections to them.
 
 use super::*;
-use crate::decide::holders::{holders, member_paths};
+use crate::decide::load::holders::{holders, member_paths};
 
 impl Service {
     pub(super) fn change_vms(&mut self, vms: Rc<Vms>) {
--- a/src/relay/vms.rs
+++ b/src/relay/vms.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{decide::holders::VmPlace, prelude::*};
+use crate::{decide::load::holders::VmPlace, prelude::*};
 
 /// Active VMs, including this one. Empty until they are known.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/tests/decide_control.rs
+++ b/tests/decide_control.rs
@@ -4,7 +4,7 @@
 
 use foxtailknot::{
     decide::{
-        admission::{Admission, AdmissionQueue},
+        load::admission::{Admission, AdmissionQueue},
         membership::{Change, Liveness, Membership, MembershipSettings, Place},
         placement::{Candidate, Reason, StandbyMap, place, standby_delegate},
         rollout::{ChangeRef, Head, Plan, SiteChange},
--- a/tests/decide_news.rs
+++ b/tests/decide_news.rs
@@ -6,7 +6,7 @@
 use foxtailknot::{
     decide::{
         floor_news::{Floors, LastAnswer, OffsetFloor, floor_since},
-        holders::VmPlace,
+        load::holders::VmPlace,
         news_sources::{
             Sources, StoreUse, followers, is_follower, pace, sources, store_use, store_use_at_start,
         },
--- a/tests/decide_relay.rs
+++ b/tests/decide_relay.rs
@@ -8,19 +8,19 @@
 
 use foxtailknot::{
     decide::{
-        admission::AdmissionQueue,
         age::{AgeTracker, is_floor_due},
-        dispatch::{ConnectionBudget, ReadCandidate, choose_reader, is_cut_off, share_count},
-        holders::{MemberPath, VmPlace, holders, member_paths},
         leadership::{
             LeadershipCheck, TermReport, check_leadership, received_by_others, term_reports_needed,
         },
+        load::admission::AdmissionQueue,
+        load::dispatch::{ConnectionBudget, ReadCandidate, choose_reader, is_cut_off, share_count},
+        load::holders::{MemberPath, VmPlace, holders, member_paths},
+        load::window::Window,
         retry::Backoff,
         takeover::{
             Candidate, Choice, Fenced, Knowledge, PrimaryHealth, Reason, StuckCommit,
             TakeoverSettings, WaitReason, choose, replacement_reason,
         },
-        window::Window,
     },
     lsn::Lsn,
     position::Position,
