--- /dev/null
+++ b/src/decide/load/account.rs
@@ -0,0 +1,67 @@
+//! Client accounts: whose statements run under which name, and how many.
+
+use crate::prelude::*;
+
+/// Key by which a caller proves to belong to an account. It is never logged.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, derive_more::From)]
+pub struct AccountKey(Name);
+
+impl std::fmt::Debug for AccountKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("AccountKey(..)")
+    }
+}
+
+/// Limit on the operations of an account, over all VMs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateLimit {
+    /// Version of the configuration that sets it.
+    pub version: u64,
+    /// Operations per second.
+    pub rate_per_s: f64,
+    /// Operations that may run in a window beyond those of the rate.
+    pub burst: f64,
+}
+
+/// A client account.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Account {
+    /// Name, under which members see its connections.
+    pub name: Name,
+    /// Limit on its operations; `None` for an account without one.
+    pub limit: Option<RateLimit>,
+}
+
+/// The accounts of a configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Accounts {
+    by_key: BTreeMap<AccountKey, Arc<Account>>,
+}
+
+impl Accounts {
+    /// Creates the set of accounts, given the keys of each. Returns also the accounts
+    /// of which a key belongs to another one as well: such a key is refused, since it
+    /// does not tell whose statements run.
+    pub fn new(accounts: Vec<(Account, Vec<AccountKey>)>) -> (Accounts, BTreeSet<Name>) {
+        let mut by_key = BTreeMap::new();
+        let mut shared_keys = BTreeSet::new();
+        let mut ambiguous = BTreeSet::new();
+        for (account, keys) in accounts {
+            let account = Arc::new(account);
+            for key in keys {
+                let other: Option<Arc<Account>> = by_key.insert(key.clone(), account.clone());
+                if let Some(other) = other.filter(|other| other.name != account.name) {
+                    ambiguous.extend([other.name.clone(), account.name.clone()]);
+                    shared_keys.insert(key);
+                }
+            }
+        }
+        by_key.retain(|key, _| !shared_keys.contains(key));
+        (Accounts { by_key }, ambiguous)
+    }
+
+    /// The account that holds a key.
+    pub fn find(&self, key: &AccountKey) -> Option<&Arc<Account>> {
+        self.by_key.get(key)
+    }
+}
--- a/src/decide/load/admission.rs
+++ b/src/decide/load/admission.rs
@@ -100,6 +100,17 @@
         self.waiting.pop_first().map(|(_, request)| request)
     }
 
+    /// Removes the first request that fits, in the order in which they are served.
+    pub fn pop_first(&mut self, fits: impl Fn(&T) -> bool) -> Option<T> {
+        let rank = *self.waiting.iter().find(|(_, request)| fits(request))?.0;
+        self.waiting.remove(&rank)
+    }
+
+    /// The waiting requests, in the order in which they are served.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.waiting.values()
+    }
+
     /// Removes and returns the requests whose deadline has passed at `now_ms`.
     pub fn expire(&mut self, now_ms: u64) -> Vec<T> {
         let is_due = |rank: &Rank, _: &mut T| rank.1 <= now_ms;
--- a/src/decide/load/dispatch.rs
+++ b/src/decide/load/dispatch.rs
@@ -16,6 +16,9 @@
 /// Time after which an idle connection is closed unless it is the only one, in
 /// milliseconds: several times the usual pause within a transaction.
 const IDLE_MS: u64 = 1_500;
+/// The same where connections belong to client accounts: small accounts run an operation
+/// every few seconds, and each opening costs a member about as much as a read.
+const ACCOUNT_IDLE_MS: u64 = 15_000;
 /// Fraction of a member's connections that is divided evenly among the VMs.
 const FAIR_SHARE: f64 = 0.8;
 
@@ -83,6 +86,8 @@
     pub shares: usize,
     /// Open connections from all VMs, by the member's latest report.
     pub reported: Option<usize>,
+    /// Whether a connection serves one client account only.
+    pub has_accounts: bool,
 }
 
 impl ConnectionBudget {
@@ -116,7 +121,11 @@
     /// failure, while the member still counts their old connections for some
     /// time.
     pub fn is_surplus(&self, own: usize, idle_ms: u64) -> bool {
-        let is_idle = own > 1 && idle_ms >= IDLE_MS;
+        let idle_limit_ms = match self.has_accounts {
+            true => ACCOUNT_IDLE_MS,
+            false => IDLE_MS,
+        };
+        let is_idle = own > 1 && idle_ms >= idle_limit_ms;
         is_idle || (own > self.fair_share() && !self.has_room())
     }
 }
--- a/src/decide/load/holders.rs
+++ b/src/decide/load/holders.rs
@@ -32,6 +32,26 @@
     pub weight: f64,
 }
 
+/// Connections that a member allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionSupply {
+    /// Most connections, from all VMs together.
+    pub connections_max: usize,
+    /// Whether a connection serves one client account only.
+    pub has_accounts: bool,
+}
+
+impl ConnectionSupply {
+    /// Connections that a VM needs at least to hold any: one that serves all callers,
+    /// or a pool in which accounts find one of theirs.
+    fn pool_min(&self) -> usize {
+        match self.has_accounts {
+            true => HOLDER_CONNECTIONS,
+            false => 1,
+        }
+    }
+}
+
 /// Path by which a VM reaches a member.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum MemberPath {
@@ -58,15 +78,15 @@
 /// a VM that joins or leaves changes only its own assignments.
 pub fn holders(
     member: &str,
-    connections_max: usize,
+    supply: ConnectionSupply,
     vms: &BTreeMap<Name, VmPlace>,
     region: &Name,
 ) -> Option<Vec<Name>> {
     let regions: BTreeSet<&Name> = vms.values().map(|vm| &vm.region).collect();
-    let region_connections = connections_for_region(connections_max, regions.len());
+    let region_connections = connections_for_region(supply.connections_max, regions.len());
     let here = vms.iter().filter(|(_, vm)| vm.region == *region);
     let here: Vec<(&Name, &VmPlace)> = here.collect();
-    if here.len() <= region_connections.max(1) {
+    if here.len() * supply.pool_min() <= region_connections.max(1) {
         return None;
     }
     let count = (region_connections / HOLDER_CONNECTIONS).max(1);
@@ -81,7 +101,7 @@
 pub fn member_paths(
     own: &Name,
     member: &str,
-    connections_max: usize,
+    supply: ConnectionSupply,
     vms: &BTreeMap<Name, VmPlace>,
 ) -> Vec<MemberPath> {
     let Some(place) = vms.get(own) else {
@@ -90,14 +110,14 @@
     // Each VM ranks the others differently, which spreads the load.
     let key = format!("{own}/{member}");
     let holders_in = |region: &Name| -> Vec<(&Name, &VmPlace)> {
-        let chosen = holders(member, connections_max, vms, region);
+        let chosen = holders(member, supply, vms, region);
         let here = vms
             .iter()
             .filter(|(vm, p)| p.region == *region && *vm != own);
         let holds = |vm: &Name| chosen.as_ref().is_none_or(|chosen| chosen.contains(vm));
         here.filter(|(vm, _)| holds(vm)).collect()
     };
-    let own_holders = holders(member, connections_max, vms, &place.region);
+    let own_holders = holders(member, supply, vms, &place.region);
     let is_holder = own_holders.is_none_or(|chosen| chosen.contains(own));
     let regions: BTreeSet<&Name> = vms.values().map(|vm| &vm.region).collect();
     let others = regions
--- a/src/decide/load/mod.rs
+++ b/src/decide/load/mod.rs
@@ -1,6 +1,9 @@
 //! Decisions under load: who is served where, who waits, and who is refused.
 
+pub mod account;
 pub mod admission;
+pub mod allotment;
+pub mod counters;
 pub mod dispatch;
 pub mod holders;
 pub mod window;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -63,6 +63,8 @@
     pub era_changes: Counter<u64>,
     /// Age of the VM's news by table when more arrives, in milliseconds.
     pub news_age_ms: Histogram<f64>,
+    /// Operations of client accounts that were refused, by reason.
+    pub account_refusals: Counter<u64>,
     /// Bytes transferred in calls between VMs, by direction.
     pub peer_bytes: Counter<u64>,
 }
@@ -108,6 +110,7 @@
             news_answers: counter("foxtailknot_news_answers"),
             era_changes: counter("foxtailknot_era_changes"),
             news_age_ms: meter.f64_histogram("foxtailknot_news_age_ms").build(),
+            account_refusals: counter("foxtailknot_account_refusals"),
             peer_bytes: counter("foxtailknot_peer_bytes"),
             _provider: provider,
         })
--- /dev/null
+++ b/src/relay/accounts/meter.rs
@@ -0,0 +1,551 @@
+//! The task that meters the operations of accounts on one VM. It also counts for
+//! other VMs, where this VM is the counter of an account.
+
+use std::{collections::VecDeque, net::SocketAddr, rc::Rc};
+
+use futures::channel::oneshot;
+
+use super::{
+    Take,
+    client::{self, Question},
+};
+use crate::{
+    clock,
+    decide::load::{
+        account::{Account, RateLimit},
+        allotment::{Credit, Grant, WindowCount},
+        counters::{Counter, FAILED_MS, choose_counter, counters},
+    },
+    decision_log::decision,
+    metrics::{Metrics, label},
+    prelude::*,
+    relay::{RelayOptions, Vms},
+};
+
+/// Longest time between two passes of the task. A longer one shows that the process
+/// was suspended.
+const TICK: Duration = Duration::from_millis(250);
+/// Time between two passes after which the process counts as suspended, in milliseconds.
+const SUSPENDED_MS: u64 = 1_500;
+/// Longest wait for the answer of a counter, in milliseconds: a round trip to another
+/// region, a new connection, and a counter that is busy.
+const ANSWER_MS: u64 = 150;
+/// Added for each VM that the asked one may have to ask itself, in milliseconds.
+const ANSWER_PER_RANK_MS: u64 = 200;
+/// Longest time for which an operation waits for a token, in milliseconds: a counter
+/// that does not answer, and its first deputy.
+const WAIT_MS: u64 = 600;
+/// Time after the start for which operations wait for the list of VMs, in milliseconds.
+const VMS_WAIT_MS: u64 = 6_000;
+/// Time after its start of which a counter does not know what was granted, in
+/// milliseconds: other VMs may still ask the deputy that granted in its absence.
+const OVERLAP_MS: u64 = FAILED_MS;
+/// Time after which the state of an unused account is dropped, in milliseconds. A
+/// window is over by then.
+const IDLE_MS: u64 = 60_000;
+
+/// A message to the task.
+enum MeterMessage {
+    /// A caller wants to run an operation.
+    Admit {
+        account: Name,
+        limit: RateLimit,
+        reply: oneshot::Sender<Result<(), u64>>,
+    },
+    /// An operation that was admitted was not sent to any member.
+    GiveBack { account: Name },
+    /// Another VM asks for tokens.
+    Take {
+        take: Take,
+        reply: oneshot::Sender<Grant>,
+    },
+    /// Another VM has answered, or not.
+    Answered {
+        inquiry: Inquiry,
+        vm: Name,
+        asked_ms: u64,
+        grant: Option<Grant>,
+    },
+    /// The active VMs.
+    Vms(Rc<Vms>),
+}
+
+/// Why another VM is asked for tokens.
+enum Inquiry {
+    /// Operations of this VM's callers need them.
+    Own { account: Name },
+    /// A VM that does not reach it asked this VM instead.
+    Passed {
+        take: Take,
+        reply: oneshot::Sender<Grant>,
+    },
+}
+
+/// Meters the operations of accounts.
+#[derive(Clone)]
+pub struct AccountMeter {
+    mailbox: flume::Sender<MeterMessage>,
+}
+
+impl AccountMeter {
+    /// Starts the task.
+    pub fn start(options: Rc<RelayOptions>, metrics: Metrics) -> AccountMeter {
+        let (mailbox, messages) = flume::unbounded();
+        let meter = Meter::new(options, metrics, mailbox.clone());
+        compio::runtime::spawn(meter.run(messages)).detach();
+        AccountMeter { mailbox }
+    }
+
+    /// Waits until the account may run an operation.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller should try again, in milliseconds, when
+    /// the account is over its limit or too few VMs answer to tell.
+    pub async fn admit(&self, account: &Account) -> Result<(), u64> {
+        let Some(limit) = account.limit else {
+            return Ok(());
+        };
+        let (reply, admitted) = oneshot::channel();
+        self.send(MeterMessage::Admit {
+            account: account.name.clone(),
+            limit,
+            reply,
+        });
+        admitted.await.unwrap_or(Err(WAIT_MS))
+    }
+
+    /// Gives back the token of an operation that was not sent to any member.
+    pub fn give_back(&self, account: &Account) {
+        if account.limit.is_some() {
+            let account = account.name.clone();
+            self.send(MeterMessage::GiveBack { account });
+        }
+    }
+
+    /// Grants tokens to another VM; `None` while this VM can't tell.
+    pub async fn take(&self, take: Take) -> Option<Grant> {
+        let (reply, granted) = oneshot::channel();
+        self.send(MeterMessage::Take { take, reply });
+        granted.await.ok()
+    }
+
+    /// Replaces the active VMs.
+    pub fn update_vms(&self, vms: Rc<Vms>) {
+        self.send(MeterMessage::Vms(vms));
+    }
+
+    fn send(&self, message: MeterMessage) {
+        // The task ends only with the process.
+        let _ = self.mailbox.send(message);
+    }
+}
+
+/// An operation that waits for a token.
+struct Waiting {
+    since_ms: u64,
+    reply: oneshot::Sender<Result<(), u64>>,
+}
+
+/// State of an account whose callers use this VM.
+struct AccountState {
+    limit: RateLimit,
+    credit: Credit,
+    waiting: VecDeque<Waiting>,
+    /// Whether a counter is being asked.
+    is_asking: bool,
+}
+
+/// Connection to another VM.
+struct Peer {
+    address: SocketAddr,
+    questions: flume::Sender<Question>,
+}
+
+struct Meter {
+    options: Rc<RelayOptions>,
+    metrics: Metrics,
+    mailbox: flume::Sender<MeterMessage>,
+    accounts: BTreeMap<Name, AccountState>,
+    /// Counts of the accounts that this VM counts for.
+    counts: BTreeMap<Name, WindowCount>,
+    /// Counters of accounts, best first, for the present list of VMs.
+    rankings: BTreeMap<Name, Rc<Vec<Name>>>,
+    vms: Rc<Vms>,
+    peers: BTreeMap<Name, Peer>,
+    /// Time until which VMs that have not answered are not asked, in milliseconds.
+    failed_until_ms: BTreeMap<Name, u64>,
+    /// Time since which this VM has counted without a break, in milliseconds.
+    counting_since_ms: u64,
+    /// Whether nothing can have been granted before.
+    is_first_start: bool,
+    started_ms: u64,
+    /// Time of the last pass of the task, in milliseconds.
+    passed_ms: u64,
+    /// Time of the next look for what is due, in milliseconds.
+    expire_ms: u64,
+}
+
+impl Meter {
+    fn new(
+        options: Rc<RelayOptions>,
+        metrics: Metrics,
+        mailbox: flume::Sender<MeterMessage>,
+    ) -> Meter {
+        let now_ms = clock::boot_ms();
+        Meter {
+            is_first_start: options.is_first_start,
+            options,
+            metrics,
+            mailbox,
+            accounts: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            rankings: BTreeMap::new(),
+            vms: Rc::default(),
+            peers: BTreeMap::new(),
+            failed_until_ms: BTreeMap::new(),
+            counting_since_ms: now_ms,
+            started_ms: now_ms,
+            passed_ms: now_ms,
+            expire_ms: now_ms,
+        }
+    }
+
+    async fn run(mut self, messages: flume::Receiver<MeterMessage>) {
+        loop {
+            let received = compio::time::timeout(TICK, messages.recv_async()).await;
+            self.note_time();
+            match received {
+                Ok(Ok(message)) => self.handle(message),
+                Ok(Err(_)) => return,
+                Err(_) => {}
+            }
+            if self.passed_ms >= self.expire_ms {
+                self.expire_ms = self.passed_ms + TICK.as_millis() as u64;
+                self.expire();
+            }
+        }
+    }
+
+    /// Starts to count anew after a suspension: a deputy has counted meanwhile.
+    fn note_time(&mut self) {
+        let now_ms = clock::boot_ms();
+        let pause_ms = now_ms.saturating_sub(self.passed_ms);
+        self.passed_ms = now_ms;
+        if pause_ms < SUSPENDED_MS {
+            return;
+        }
+        decision!("account", pause_ms = pause_ms, accounts = self.counts.len(); "counting anew");
+        self.counting_since_ms = now_ms;
+        self.is_first_start = false;
+        for count in self.counts.values_mut() {
+            count.assume_granted(0, now_ms);
+        }
+    }
+
+    fn handle(&mut self, message: MeterMessage) {
+        match message {
+            MeterMessage::Admit {
+                account,
+                limit,
+                reply,
+            } => self.admit(account, limit, reply),
+            MeterMessage::GiveBack { account } => {
+                if let Some(state) = self.accounts.get_mut(&account) {
+                    state.credit.give_back();
+                }
+            }
+            MeterMessage::Take { take, reply } => self.inquire(Inquiry::Passed { take, reply }),
+            MeterMessage::Answered {
+                inquiry,
+                vm,
+                asked_ms,
+                grant,
+            } => self.answered(inquiry, &vm, asked_ms, grant),
+            MeterMessage::Vms(vms) => {
+                self.rankings.clear();
+                self.peers
+                    .retain(|vm, peer| vms.addresses.get(vm) == Some(&peer.address));
+                self.vms = vms;
+                self.ask_for_waiting();
+            }
+        }
+    }
+
+    fn admit(&mut self, account: Name, limit: RateLimit, reply: oneshot::Sender<Result<(), u64>>) {
+        let now_ms = clock::boot_ms();
+        let state = self
+            .accounts
+            .entry(account.clone())
+            .or_insert_with(|| AccountState {
+                limit,
+                credit: Credit::default(),
+                waiting: VecDeque::new(),
+                is_asking: false,
+            });
+        state.limit = limit;
+        state.credit.record_demand(now_ms);
+        if state.waiting.is_empty() && state.credit.spend(now_ms) {
+            // The caller may have gone; its token expires.
+            let _ = reply.send(Ok(()));
+            if !state.is_asking && state.credit.is_low(now_ms) {
+                self.ask(account);
+            }
+            return;
+        }
+        if let Some(retry_after_ms) = state.credit.refusal_ms(now_ms) {
+            return self.refuse(&account, "over_limit", retry_after_ms, reply);
+        }
+        state.waiting.push_back(Waiting {
+            since_ms: now_ms,
+            reply,
+        });
+        if !state.is_asking {
+            self.ask(account);
+        }
+    }
+
+    fn refuse(
+        &self,
+        account: &Name,
+        reason: &'static str,
+        retry_after_ms: u64,
+        reply: oneshot::Sender<Result<(), u64>>,
+    ) {
+        self.metrics
+            .account_refusals
+            .add(1, &[label("reason", reason)]);
+        decision!(
+            "account", account = &**account, reason = reason, retry_after_ms = retry_after_ms;
+            "operation refused"
+        );
+        let _ = reply.send(Err(retry_after_ms));
+    }
+
+    /// Asks for tokens for the operations that wait and for those to come.
+    fn ask(&mut self, account: Name) {
+        if let Some(state) = self.accounts.get_mut(&account) {
+            state.is_asking = true;
+            self.inquire(Inquiry::Own { account });
+        }
+    }
+
+    fn ranking(&mut self, account: &Name) -> Rc<Vec<Name>> {
+        let places = &self.vms.places;
+        let ranking = self
+            .rankings
+            .entry(account.clone())
+            .or_insert_with(|| Rc::new(counters(account, places)));
+        ranking.clone()
+    }
+
+    /// Asks the best ranked counter that answers, or decides here.
+    fn inquire(&mut self, inquiry: Inquiry) {
+        let now_ms = clock::boot_ms();
+        let (take, asked_rank) = match &inquiry {
+            Inquiry::Passed { take, .. } => (take.clone(), Some(take.rank)),
+            Inquiry::Own { account } => match self.accounts.get(account) {
+                Some(state) => {
+                    let take = Take {
+                        account: account.clone(),
+                        tokens: state.credit.wanted(state.waiting.len()),
+                        limit: state.limit,
+                        rank: 0,
+                    };
+                    (take, None)
+                }
+                None => return,
+            },
+        };
+        let ranking = self.ranking(&take.account);
+        let failed = |vm: &Name| {
+            let until_ms = self.failed_until_ms.get(vm).copied().unwrap_or(0);
+            now_ms < until_ms || !self.vms.addresses.contains_key(vm)
+        };
+        match choose_counter(&ranking, &self.options.vm, asked_rank, failed) {
+            Counter::Own => {
+                let is_first = ranking.first() == Some(&self.options.vm);
+                let grant = self.take_own(&take, is_first);
+                self.apply(inquiry, now_ms, grant);
+            }
+            Counter::Other { vm, rank } => {
+                let take = Take { rank, ..take };
+                self.send_question(inquiry, vm, take);
+            }
+            Counter::None => self.pass_cut_off(inquiry),
+        }
+    }
+
+    fn take_own(&mut self, take: &Take, is_first: bool) -> Grant {
+        let now_ms = clock::boot_ms();
+        let counted_ms = match (is_first, self.is_first_start) {
+            (true, true) => u64::MAX,
+            (true, false) => now_ms.saturating_sub(self.counting_since_ms + OVERLAP_MS),
+            // The first counter may have granted all until just now.
+            (false, _) => 0,
+        };
+        let window_ms = self.options.limit_window_ms;
+        let count = self
+            .counts
+            .entry(take.account.clone())
+            .or_insert_with(|| WindowCount::new(take.limit, window_ms, counted_ms, now_ms));
+        let grant = count.take(take.tokens, take.limit, now_ms);
+        if grant.tokens < take.tokens {
+            decision!(
+                "account", account = &*take.account, wanted = take.tokens, granted = grant.tokens,
+                rate_per_s = take.limit.rate_per_s, burst = take.limit.burst,
+                version = take.limit.version, rank = take.rank; "account over its limit"
+            );
+        }
+        grant
+    }
+
+    fn send_question(&mut self, inquiry: Inquiry, vm: Name, take: Take) {
+        let now_ms = clock::boot_ms();
+        let Some(address) = self.vms.addresses.get(&vm).copied() else {
+            return;
+        };
+        let codec = self.options.codecs.forward;
+        let peer = self.peers.entry(vm.clone()).or_insert_with(|| {
+            let (questions, asked) = flume::unbounded();
+            compio::runtime::spawn(client::run(address, Rc::new(codec), asked)).detach();
+            Peer { address, questions }
+        });
+        let (reply, granted) = oneshot::channel();
+        let limit_ms = ANSWER_MS + ANSWER_PER_RANK_MS * take.rank as u64;
+        // Fails only if the task of the connection has ended; the answer is then missing.
+        let _ = peer.questions.send(Question { take, reply });
+        let mailbox = self.mailbox.clone();
+        compio::runtime::spawn(async move {
+            let limit = Duration::from_millis(limit_ms);
+            let granted = compio::time::timeout(limit, granted).await;
+            let grant = granted.ok().and_then(|granted| granted.ok());
+            // The task ends only with the process.
+            let _ = mailbox.send(MeterMessage::Answered {
+                inquiry,
+                vm,
+                asked_ms: now_ms,
+                grant,
+            });
+        })
+        .detach();
+    }
+
+    fn answered(&mut self, inquiry: Inquiry, vm: &Name, asked_ms: u64, grant: Option<Grant>) {
+        let now_ms = clock::boot_ms();
+        let Some(grant) = grant else {
+            decision!("account", vm = &**vm; "a counter does not answer");
+            self.failed_until_ms.insert(vm.clone(), now_ms + FAILED_MS);
+            return self.inquire(inquiry);
+        };
+        self.failed_until_ms.remove(vm);
+        if let Inquiry::Passed { take, .. } = &inquiry {
+            // This VM no longer counts for the account.
+            self.counts.remove(&take.account);
+        }
+        self.apply(inquiry, asked_ms, grant);
+    }
+
+    fn apply(&mut self, inquiry: Inquiry, asked_ms: u64, grant: Grant) {
+        let account = match inquiry {
+            // The other VM may have stopped waiting.
+            Inquiry::Passed { reply, .. } => {
+                let _ = reply.send(grant);
+                return;
+            }
+            Inquiry::Own { account } => account,
+        };
+        let now_ms = clock::boot_ms();
+        let Some(state) = self.accounts.get_mut(&account) else {
+            return;
+        };
+        state.is_asking = false;
+        state.credit.add(grant, asked_ms, now_ms);
+        while !state.waiting.is_empty() && state.credit.spend(now_ms) {
+            if let Some(waiting) = state.waiting.pop_front()
+                && waiting.reply.send(Ok(())).is_err()
+            {
+                // The caller has gone.
+                state.credit.give_back();
+            }
+        }
+        if state.waiting.is_empty() {
+            return;
+        }
+        match state.credit.refusal_ms(now_ms) {
+            Some(retry_after_ms) => {
+                for waiting in std::mem::take(&mut state.waiting) {
+                    self.refuse(&account, "over_limit", retry_after_ms, waiting.reply);
+                }
+            }
+            // More operations have come while the counter was asked.
+            None => self.ask(account),
+        }
+    }
+
+    /// Lets few operations pass while no counter answers.
+    fn pass_cut_off(&mut self, inquiry: Inquiry) {
+        let Inquiry::Own { account } = inquiry else {
+            return;
+        };
+        let now_ms = clock::boot_ms();
+        let knows_vms = !self.vms.places.is_empty();
+        let Some(state) = self.accounts.get_mut(&account) else {
+            return;
+        };
+        state.is_asking = false;
+        if !knows_vms && now_ms < self.started_ms + VMS_WAIT_MS {
+            return;
+        }
+        for waiting in std::mem::take(&mut state.waiting) {
+            let Some(state) = self.accounts.get_mut(&account) else {
+                return;
+            };
+            match state.credit.pass_cut_off(now_ms) {
+                Ok(()) => {
+                    let _ = waiting.reply.send(Ok(()));
+                }
+                Err(retry_after_ms) => {
+                    self.refuse(&account, "no_counter", retry_after_ms, waiting.reply);
+                }
+            }
+        }
+    }
+
+    /// Asks again for the operations that wait while no counter is asked.
+    fn ask_for_waiting(&mut self) {
+        let unasked: Vec<Name> = self
+            .accounts
+            .iter()
+            .filter(|(_, state)| !state.is_asking && !state.waiting.is_empty())
+            .map(|(account, _)| account.clone())
+            .collect();
+        for account in unasked {
+            self.ask(account);
+        }
+    }
+
+    /// Refuses operations that have waited for too long, and drops unused state.
+    fn expire(&mut self) {
+        let now_ms = clock::boot_ms();
+        let mut due = Vec::new();
+        for (account, state) in &mut self.accounts {
+            while let Some(waiting) = state.waiting.front()
+                && now_ms >= waiting.since_ms + WAIT_MS
+            {
+                due.extend(state.waiting.pop_front().map(|w| (account.clone(), w)));
+            }
+        }
+        for (account, waiting) in due {
+            self.refuse(&account, "no_counter", WAIT_MS, waiting.reply);
+        }
+        self.ask_for_waiting();
+        self.accounts.retain(|_, state| {
+            state.is_asking || !state.waiting.is_empty() || state.credit.idle_ms(now_ms) < IDLE_MS
+        });
+        self.counts
+            .retain(|_, count| count.idle_ms(now_ms) < IDLE_MS);
+        self.failed_until_ms
+            .retain(|_, until_ms| now_ms < *until_ms);
+    }
+}
--- /dev/null
+++ b/src/relay/accounts/mod.rs
@@ -0,0 +1,11 @@
+//! Limits on the operations of client accounts, over all VMs.
+//!
+//! One VM counts the operations of an account; see [`crate::decide::load::counters`].
+//! The meter of each VM buys tokens there and spends one for each operation.
+
+mod client;
+mod meter;
+mod take;
+
+pub use meter::AccountMeter;
+pub use take::Take;
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -44,6 +44,8 @@
     InDoubt,
     /// Unknown database.
     NoDatabase,
+    /// The key belongs to no client account; not run.
+    Unauthorized,
     /// A message is too large.
     TooBig,
     /// The message is invalid, or not allowed in the session's state.
--- a/src/relay/codec.rs
+++ b/src/relay/codec.rs
@@ -3,9 +3,13 @@
 use bytes::{Bytes, BytesMut};
 
 use super::{
-    Answer, ErrorClass, Result, SessionState, Statement, StatusReport, prepared::PreparedStatement,
+    Answer, ErrorClass, Result, SessionState, Statement, StatusReport, accounts::Take,
+    prepared::PreparedStatement,
+};
+use crate::{
+    decide::load::{account::AccountKey, allotment::Grant},
+    prelude::*,
 };
-use crate::prelude::*;
 
 /// A message of a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,6 +18,8 @@
     Open {
         /// Name of the database.
         database: Name,
+        /// Key of a client account; empty if the caller gave none.
+        key: AccountKey,
     },
     /// Runs a statement.
     Statement(Statement),
@@ -30,6 +36,14 @@
         service: &'a str,
         /// Expected id of the member.
         member: &'a str,
+        /// Client account whose statements run on it; `None` without accounts.
+        account: Option<&'a str>,
+    },
+    /// Names the client account of the statements that follow, on a connection to
+    /// another VM.
+    SetAccount {
+        /// Name of the account; `None` without accounts.
+        account: Option<&'a str>,
     },
     /// Runs a statement of a caller, unchanged.
     CallerStatement {
@@ -123,7 +137,7 @@
 }
 
 /// A message of another VM that uses this one to reach a member.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum ForwardMessage {
     /// Opens a connection to a member.
     Open {
@@ -132,6 +146,14 @@
         /// Id of the member.
         member: Name,
     },
+    /// Names the client account of the statements that follow.
+    SetAccount {
+        /// Name of the account; `None` without accounts.
+        account: Option<Name>,
+    },
+    /// Asks for tokens of an account's limit. Such messages have a connection of
+    /// their own.
+    Take(Take),
     /// Sets a session variable.
     Set {
         /// Name.
@@ -179,6 +201,12 @@
     pub decode: fn(&mut BytesMut) -> Result<Option<ForwardMessage>>,
     /// Writes a report.
     pub report: fn(&mut BytesMut, &StatusReport),
+    /// Writes a request for tokens.
+    pub encode_take: fn(&mut BytesMut, &Take),
+    /// Writes the answer to one.
+    pub encode_grant: fn(&mut BytesMut, &Grant),
+    /// Takes the next such answer out of the input; `None` while it is incomplete.
+    pub decode_grant: fn(&mut BytesMut) -> Result<Option<Grant>>,
 }
 
 /// The codecs of a relay.
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -1,6 +1,6 @@
 //! The configuration of the relay: routes, services and limits.
 
-use crate::prelude::*;
+use crate::{decide::load::account::Accounts, prelude::*};
 
 /// Commits that reads on a route must see.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +35,8 @@
     pub target_latency_ms: u64,
     /// Priority of its requests; zero is the highest.
     pub priority: u32,
+    /// Whether it serves callers of no client account.
+    pub is_keyless: bool,
 }
 
 /// Configuration of a service.
@@ -44,6 +46,8 @@
     pub connections_max: usize,
     /// Replicas that must have received a commit before it is acknowledged.
     pub sync_replicas: u32,
+    /// Whether a connection to a member serves one client account only.
+    pub has_accounts: bool,
 }
 
 /// Limits on callers.
@@ -56,7 +60,7 @@
 }
 
 /// A version of the relay's configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RelayConfig {
     /// Version; a later one has a higher number.
     pub version: u64,
@@ -64,6 +68,8 @@
     pub routes: BTreeMap<Name, Arc<Route>>,
     /// Services by name.
     pub services: BTreeMap<Name, ServiceConfig>,
+    /// Client accounts; `None` where callers need none.
+    pub accounts: Option<Accounts>,
     /// Limits.
     pub limits: Limits,
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -5,35 +5,51 @@
 use super::{
     Answer, ErrorClass, MemberCodec, MemberRequest, RelayError, Result, Statement, StatementKind,
     StatusReport,
-    connection::{Connection, SessionVariables},
+    connection::{Connection, SessionSetup},
     prepared::PreparedStatement,
 };
 use crate::prelude::*;
 
-/// Writes the requests that set a caller's session variables on a connection and
-/// prepare the statement to be run. Returns the number of requests, each of which
-/// is answered.
+/// Writes the requests that set a caller's account and session variables on a
+/// connection and prepare the statement to be run. Returns the number of requests,
+/// each of which is answered.
+///
+/// # Errors
+///
+/// Returns an error for a connection on which the account's statements must not run.
 pub fn write_session_setup(
     output: &mut BytesMut,
     codec: &MemberCodec,
     connection: &mut Connection,
-    variables: &SessionVariables,
+    setup: &SessionSetup,
     prepared_statement: Option<&PreparedStatement>,
-) -> usize {
+) -> Result<usize> {
+    if !connection.serves(setup.account.as_ref()) {
+        return Err(RelayError::malformed("a connection of another account"));
+    }
+    let variables = &setup.variables;
     let mut requests = 0;
     let mut write = |request: &MemberRequest<'_>| {
         (codec.encode)(output, request);
         requests += 1;
     };
+    if connection.setup.account != setup.account {
+        let account = setup.account.as_deref();
+        write(&MemberRequest::SetAccount { account });
+        connection.setup.account = setup.account.clone();
+    }
     if connection.needs_reset(variables) {
         write(&MemberRequest::Reset);
-        connection.variables.clear();
+        connection.setup.variables.clear();
         connection.prepared.clear();
     }
     for (name, value) in variables {
-        if connection.variables.get(name) != Some(value) {
+        if connection.setup.variables.get(name) != Some(value) {
             write(&MemberRequest::Set { name, value });
-            connection.variables.insert(name.clone(), value.clone());
+            connection
+                .setup
+                .variables
+                .insert(name.clone(), value.clone());
         }
     }
     if let Some(prepared_statement) = prepared_statement
@@ -44,7 +60,7 @@
             prepared_statement,
         });
     }
-    requests
+    Ok(requests)
 }
 
 /// Reads the answers to session setup requests, which must not be errors.
@@ -136,7 +152,7 @@
 pub async fn run(
     connection: &mut Connection,
     codec: &MemberCodec,
-    variables: &SessionVariables,
+    setup: &SessionSetup,
     call: &Call<'_>,
 ) -> Result<Outcome> {
     let mut output = BytesMut::new();
@@ -144,9 +160,9 @@
         &mut output,
         codec,
         connection,
-        variables,
+        setup,
         call.prepared_statement,
-    );
+    )?;
     let statement = call.statement;
     match (&statement.kind, call.prepared_statement) {
         (StatementKind::Execute { arguments, .. }, Some(prepared_statement)) => (codec.encode)(
@@ -187,12 +203,12 @@
 pub async fn begin(
     connection: &mut Connection,
     codec: &MemberCodec,
-    variables: &SessionVariables,
+    setup: &SessionSetup,
     after: Option<Position>,
     is_read_only: bool,
 ) -> Result<Answer> {
     let mut output = BytesMut::new();
-    let setup_requests = write_session_setup(&mut output, codec, connection, variables, None);
+    let setup_requests = write_session_setup(&mut output, codec, connection, setup, None)?;
     let request = MemberRequest::Begin {
         after,
         is_read_only,
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -14,7 +14,7 @@
 
 use self::session::ForwardSession;
 use super::{
-    ErrorClass, ForwardMessage, Result, SessionState,
+    ErrorClass, ForwardMessage, Result, SessionState, Take,
     handle::Shared,
     socket::{Socket, read_messages},
 };
@@ -50,10 +50,12 @@
     writer: &TcpStream,
     messages: &flume::Receiver<Result<ForwardMessage>>,
 ) -> Result<()> {
-    let Some(ForwardMessage::Open { service, member }) =
-        next_message(messages, IDLE_TIMEOUT).await?
-    else {
-        return Ok(());
+    let (service, member) = match next_message(messages, IDLE_TIMEOUT).await? {
+        Some(ForwardMessage::Open { service, member }) => (service, member),
+        Some(ForwardMessage::Take(take)) => {
+            return serve_takes(shared, writer, messages, take).await;
+        }
+        _ => return Ok(()),
     };
     let codec = &shared.options.codecs.caller;
     let mut output = BytesMut::new();
@@ -69,6 +71,30 @@
     ended
 }
 
+/// Answers requests for tokens in order, until the connection ends.
+async fn serve_takes(
+    shared: &Shared,
+    writer: &TcpStream,
+    messages: &flume::Receiver<Result<ForwardMessage>>,
+    first: Take,
+) -> Result<()> {
+    let mut take = first;
+    let mut output = BytesMut::new();
+    loop {
+        let Some(grant) = shared.meter.take(take).await else {
+            return Ok(());
+        };
+        (shared.options.codecs.forward.encode_grant)(&mut output, &grant);
+        if messages.is_empty() {
+            super::socket::write(writer, std::mem::take(&mut output)).await?;
+        }
+        let Some(ForwardMessage::Take(next)) = next_message(messages, IDLE_TIMEOUT).await? else {
+            return Ok(());
+        };
+        take = next;
+    }
+}
+
 async fn run_session(
     shared: &Shared,
     writer: &TcpStream,
--- a/src/relay/forward/session.rs
+++ b/src/relay/forward/session.rs
@@ -8,7 +8,7 @@
     metrics::label,
     relay::{
         Answer, Statement, StatementKind, StatusReport,
-        connection::{Connection, SessionVariables},
+        connection::{Connection, SessionSetup},
         exchange::{Call, Outcome, begin, run},
         message::{Acquire, Purpose, Refused, ReportError, ServiceMessage},
         prepared::PreparedStatement,
@@ -31,7 +31,7 @@
     member: Name,
     /// Messages of the VM; disconnected once the VM has closed the connection.
     messages: flume::Receiver<Result<ForwardMessage>>,
-    variables: Rc<SessionVariables>,
+    setup: Rc<SessionSetup>,
     prepared: BTreeMap<Name, PreparedStatement>,
     /// Connection to the member while a transaction is open.
     connection: Option<Connection>,
@@ -50,7 +50,7 @@
             service,
             member,
             messages,
-            variables: Rc::default(),
+            setup: Rc::default(),
             prepared: BTreeMap::new(),
             connection: None,
         }
@@ -71,12 +71,18 @@
         output: &mut BytesMut,
     ) -> Result<bool> {
         match message {
-            ForwardMessage::Open { .. } | ForwardMessage::Close => return Ok(false),
+            ForwardMessage::Open { .. } | ForwardMessage::Take(_) | ForwardMessage::Close => {
+                return Ok(false);
+            }
+            ForwardMessage::SetAccount { account } => {
+                Rc::make_mut(&mut self.setup).account = account;
+                self.write_complete(output);
+            }
             ForwardMessage::Run { statement, after } => {
                 return self.run(&statement, (after, wants_report), output).await;
             }
             ForwardMessage::Set { name, value } => {
-                Rc::make_mut(&mut self.variables).insert(name, value);
+                Rc::make_mut(&mut self.setup).variables.insert(name, value);
                 self.write_complete(output);
             }
             ForwardMessage::Prepare(prepared_statement) => {
@@ -85,7 +91,7 @@
                 self.write_complete(output);
             }
             ForwardMessage::Reset => {
-                self.variables = Rc::default();
+                Rc::make_mut(&mut self.setup).variables.clear();
                 self.prepared.clear();
                 self.write_complete(output);
             }
@@ -195,14 +201,7 @@
             }
         };
         let codec = self.shared.options.codecs.member;
-        let begun = begin(
-            &mut connection,
-            &codec,
-            &self.variables,
-            after,
-            is_read_only,
-        )
-        .await;
+        let begun = begin(&mut connection, &codec, &self.setup, after, is_read_only).await;
         let answer = begun.inspect_err(|_| self.suspect())?;
         self.forward_answer(connection, &answer, None, output);
         Ok(())
@@ -247,7 +246,7 @@
         };
         let sent_us = clock::boot_us();
         let codec = self.shared.options.codecs.member;
-        let ran = run(&mut connection, &codec, &self.variables, &call).await;
+        let ran = run(&mut connection, &codec, &self.setup, &call).await;
         let Outcome { answer, report } = ran.inspect_err(|_| self.suspect())?;
         let took_us = clock::boot_us() - sent_us;
         decision!(
@@ -333,7 +332,7 @@
             priority: PRIORITY,
             is_transaction,
             avoid: BTreeSet::new(),
-            variables: self.variables.clone(),
+            setup: self.setup.clone(),
             reply,
         };
         self.shared
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -9,12 +9,20 @@
 use tokio::sync::watch;
 
 use super::{
-    ErrorClass, MemberList, RelayConfig, RelayOptions, Route, Vms, forward,
+    ErrorClass, MemberList, RelayConfig, RelayOptions, Route, Vms,
+    accounts::AccountMeter,
+    forward,
     message::ServiceMessage,
     service,
     session::{self, STOP_LINGER_MS},
 };
-use crate::{clock, decision_log::decision, metrics::Metrics, prelude::*};
+use crate::{
+    clock,
+    decide::load::account::{Account, AccountKey},
+    decision_log::decision,
+    metrics::Metrics,
+    prelude::*,
+};
 
 /// Pause after a failed `accept`.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -26,12 +34,19 @@
 /// Part of the grace period that is kept for the exit of the process.
 const STOP_RESERVE_MS: u64 = 800;
 
+/// No client account holds the key of a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("no account holds the key")]
+pub struct UnknownKey;
+
 /// State shared by the tasks of a relay.
 pub struct Shared {
     /// Options and dependencies.
     pub options: Rc<RelayOptions>,
     /// Metrics.
     pub metrics: Metrics,
+    /// Meters the operations of client accounts.
+    pub meter: AccountMeter,
     /// Configuration in force.
     pub config: RefCell<Option<Arc<RelayConfig>>>,
     /// Mailboxes of the services.
@@ -50,6 +65,26 @@
         config.as_ref()?.routes.get(database).cloned()
     }
 
+    /// Client account that holds a key, in the configuration in force. `Ok(None)` where
+    /// statements run without one: the configuration has no accounts, or the route
+    /// needs no key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no account holds the key.
+    pub fn account(
+        &self,
+        route: &Route,
+        key: &AccountKey,
+    ) -> std::result::Result<Option<Arc<Account>>, UnknownKey> {
+        let config = self.config.borrow();
+        let accounts = config.as_ref().and_then(|c| c.accounts.as_ref());
+        match accounts.filter(|_| !route.is_keyless) {
+            None => Ok(None),
+            Some(accounts) => accounts.find(key).cloned().map(Some).ok_or(UnknownKey),
+        }
+    }
+
     /// Mailbox of a service's task.
     pub fn mailbox(&self, service: &Name) -> Option<flume::Sender<ServiceMessage>> {
         self.services.borrow().get(service).cloned()
@@ -106,8 +141,10 @@
     /// Creates a relay without a configuration and members.
     pub fn new(options: RelayOptions, metrics: Metrics) -> Relay {
         let (stop, stopping) = watch::channel(None);
+        let options = Rc::new(options);
         let shared = Shared {
-            options: Rc::new(options),
+            meter: AccountMeter::start(options.clone(), metrics.clone()),
+            options,
             metrics,
             config: RefCell::new(None),
             services: RefCell::new(BTreeMap::new()),
@@ -204,6 +241,7 @@
         let names: Vec<&str> = vms.places.keys().map(|vm| &**vm).collect();
         decision!("placement", vms = names.join(" "); "active VMs changed");
         *self.vms.borrow_mut() = vms.clone();
+        self.shared.meter.update_vms(vms.clone());
         for service in self.services() {
             let message = ServiceMessage::Vms(vms.clone());
             self.shared.send(&service, message);
--- a/src/relay/member.rs
+++ b/src/relay/member.rs
@@ -2,7 +2,7 @@
 
 use super::{
     MemberEntry, StatusReport,
-    connection::{Connection, SessionVariables},
+    connection::{Connection, SessionSetup},
     message::Acquire,
 };
 use crate::{
@@ -15,7 +15,7 @@
         member::Role,
         retry::Backoff,
     },
-    position::Position,
+    prelude::*,
 };
 
 /// Pause after the member refused to open a connection. Opening one costs the
@@ -111,8 +111,8 @@
     pub idle: Vec<Connection>,
     /// Connections that are open or being opened.
     pub open: usize,
-    /// Connections that are being opened for queued requests.
-    pub opening: usize,
+    /// Connections that are being opened for queued requests, by account.
+    pub opening: BTreeMap<Option<Name>, usize>,
     /// Requests that wait for a connection to it.
     pub queue: AdmissionQueue<Acquire>,
     /// Requests outside transactions that are running on it.
@@ -121,6 +121,8 @@
     pub window: Window,
     /// The last report, and the time its probe was sent, in microseconds.
     pub report: Option<(u64, StatusReport)>,
+    /// Connections to it that this VM had when it gave the last report.
+    open_at_report: usize,
     /// Highest position that it has reported in its term, also before a restart under
     /// its id.
     pub highest_received: Option<Position>,
@@ -168,11 +170,12 @@
             shares: INITIAL_SHARES,
             idle: Vec::new(),
             open: 0,
-            opening: 0,
+            opening: BTreeMap::new(),
             queue: AdmissionQueue::new(QUEUE_MAX),
             running: 0,
             window: Window::default(),
             report: None,
+            open_at_report: 0,
             highest_received: None,
             probe_sent_us: None,
             probe_after_us: None,
@@ -233,6 +236,7 @@
             false => self.highest_received.max(Some(report.received)),
         };
         self.report = Some((asked_us, report));
+        self.open_at_report = self.open;
     }
 
     /// Records that it refused a probe because it is full.
@@ -272,7 +276,7 @@
     /// Whether requests can be served on connections that are open, or new ones may
     /// be opened.
     pub fn has_connections(&self, now_ms: u64) -> bool {
-        self.open > self.opening || now_ms >= self.open_after_ms
+        self.open > self.opening_count() || now_ms >= self.open_after_ms
     }
 
     /// Whether it may serve new reads.
@@ -335,7 +339,7 @@
 
     /// Connection budget of the path in use. Connections to a VM that forwards do
     /// not count against the member's limit.
-    pub fn budget(&self, connections_max: usize) -> ConnectionBudget {
+    pub fn budget(&self, connections_max: usize, has_accounts: bool) -> ConnectionBudget {
         let now_us = clock::boot_us();
         let recent = self.report.filter(|(at, _)| now_us < at + COUNT_MAX_AGE_US);
         match self.path() {
@@ -344,20 +348,34 @@
                 connections_max,
                 shares: connections_max,
                 reported: None,
+                has_accounts,
             },
             MemberPath::Direct => ConnectionBudget {
                 connections_max,
                 shares: self.shares,
-                reported: recent.map(|(_, report)| report.connections),
+                reported: recent.map(|(_, report)| match has_accounts {
+                    true => self.connections_since(&report),
+                    false => report.connections,
+                }),
+                has_accounts,
             },
             MemberPath::Through(_) => ConnectionBudget {
                 connections_max: FORWARDED_CONNECTIONS_MAX,
                 shares: 1,
                 reported: None,
+                has_accounts: false,
             },
         }
     }
 
+    /// Connections from all VMs, given a report and what this VM has opened and closed
+    /// since. Accounts that come one after the other need many openings at once.
+    fn connections_since(&self, report: &StatusReport) -> usize {
+        let opened = self.open.saturating_sub(self.open_at_report);
+        let closed = self.open_at_report.saturating_sub(self.open);
+        (report.connections + opened).saturating_sub(closed)
+    }
+
     /// Whether the direct path is this VM's best one.
     pub fn prefers_direct(&self) -> bool {
         self.paths[0] == MemberPath::Direct
@@ -451,22 +469,34 @@
         if !self.queue.is_empty() {
             return;
         }
-        // The longest idle one is the first. Only one is closed at a time, since
-        // `open` falls only when the message about its end arrives.
-        let idle_since_ms = self.idle.first().map(|connection| connection.idle_since_ms);
+        // Only one is closed at a time, since `open` falls only when the message about
+        // its end arrives.
+        let idle_since_ms = self.idle.iter().map(|c| c.idle_since_ms).min();
         let idle_ms = idle_since_ms.map(|since_ms| now_ms.saturating_sub(since_ms));
         if idle_ms.is_some_and(|idle_ms| budget.is_surplus(self.open, idle_ms)) {
-            self.idle.remove(0);
+            self.evict_idle();
+        }
+    }
+
+    /// Takes an idle connection that serves the account, preferably one that needs no
+    /// reset.
+    pub fn take_idle(&mut self, setup: &SessionSetup) -> Option<Connection> {
+        let account = setup.account.as_ref();
+        loop {
+            let serving = |c: &Connection| c.serves(account);
+            let fitting = |c: &Connection| serving(c) && !c.needs_reset(&setup.variables);
+            let chosen = self.idle.iter().rposition(fitting);
+            let chosen = chosen.or_else(|| self.idle.iter().rposition(serving))?;
+            let connection = self.idle.swap_remove(chosen);
+            if !connection.socket.is_stale() {
+                return Some(connection);
+            }
         }
     }
 
-    /// Takes an idle connection, preferably one that needs no reset.
-    pub fn take_idle(&mut self, variables: &SessionVariables) -> Option<Connection> {
-        while !self.idle.is_empty() {
-            let fitting = self.idle.iter().rposition(|c| !c.needs_reset(variables));
-            let connection = self
-                .idle
-                .swap_remove(fitting.unwrap_or(self.idle.len() - 1));
+    /// Takes any idle connection, for a request that runs in no account's name.
+    pub fn take_any_idle(&mut self) -> Option<Connection> {
+        while let Some(connection) = self.idle.pop() {
             if !connection.socket.is_stale() {
                 return Some(connection);
             }
@@ -474,6 +504,50 @@
         None
     }
 
+    /// Takes the first queued request that an idle connection serves.
+    pub fn pop_servable(&mut self) -> Option<Acquire> {
+        let idle = &self.idle;
+        let serves = |a: &Acquire| idle.iter().any(|c| c.serves(a.setup.account.as_ref()));
+        self.queue.pop_first(serves)
+    }
+
+    /// Connections that are being opened for queued requests.
+    pub fn opening_count(&self) -> usize {
+        self.opening.values().sum()
+    }
+
+    /// Account of the pool that serves a request on the path in use. Connections
+    /// through another VM serve all accounts.
+    pub fn pool_account(&self, acquire: &Acquire) -> Option<Name> {
+        match self.path() {
+            MemberPath::Direct => acquire.setup.account.clone(),
+            MemberPath::Through(_) => None,
+        }
+    }
+
+    /// Account of the first queued request for which no connection is being opened;
+    /// `None` if there is no such request.
+    pub fn unserved_account(&self) -> Option<Option<Name>> {
+        let mut opening = self.opening.clone();
+        let accounts = self.queue.iter().map(|a| self.pool_account(a));
+        let mut unserved = accounts.filter(|account| match opening.get_mut(account) {
+            Some(count) if *count > 0 => {
+                *count -= 1;
+                false
+            }
+            _ => true,
+        });
+        unserved.next()
+    }
+
+    /// Closes the connection that was idle for longest, to make room for another
+    /// account's. Returns whether there was one.
+    pub fn evict_idle(&mut self) -> bool {
+        let idle = self.idle.iter().enumerate();
+        let longest = idle.min_by_key(|(_, c)| c.idle_since_ms).map(|(i, _)| i);
+        longest.map(|index| self.idle.swap_remove(index)).is_some()
+    }
+
     /// Adds the time of a read to the mean.
     pub fn record_read(&mut self, read_us: u64) {
         let sample_ms = read_us as f64 / 1_000.0;
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -6,7 +6,7 @@
 
 use super::{
     ErrorClass, ListRead, MemberEntry, Result, ServiceConfig, StatusReport, Vms,
-    connection::{Connection, SessionVariables},
+    connection::{Connection, SessionSetup},
     takeover::GroupMember,
 };
 use crate::{decide::load::holders::MemberPath, prelude::*};
@@ -64,8 +64,8 @@
     pub is_transaction: bool,
     /// Members that must not serve it, since an attempt there failed.
     pub avoid: BTreeSet<Name>,
-    /// Variables of the session.
-    pub variables: Rc<SessionVariables>,
+    /// Account and variables of the session.
+    pub setup: Rc<SessionSetup>,
     /// Channel for the answer.
     pub reply: oneshot::Sender<std::result::Result<Granted, Refused>>,
 }
@@ -146,6 +146,8 @@
     ConnectionOpened {
         /// Id of the member.
         member: Name,
+        /// Client account that it serves.
+        account: Option<Name>,
         /// The connection, or why it was not opened.
         result: Result<Connection>,
     },
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! relay has no wire protocol of its own: the codecs, plain structs of
 //! functions, define what is read and written on the sockets.
 
+mod accounts;
 mod answer;
 mod codec;
 mod config;
@@ -27,6 +28,7 @@
 mod transaction;
 mod vms;
 
+pub use accounts::Take;
 pub use answer::{Answer, ErrorClass, SessionState, StatusReport};
 pub use codec::{
     CallerCodec, CallerMessage, Codecs, ForwardCodec, ForwardMessage, MemberCodec, MemberRequest,
--- a/src/relay/open.rs
+++ b/src/relay/open.rs
@@ -6,7 +6,9 @@
 use compio::net::TcpStream;
 
 use super::{
-    MemberCodec, MemberRequest, RelayError, Result, connection::Connection, exchange::read_answer,
+    MemberCodec, MemberRequest, RelayError, Result,
+    connection::{Connection, SessionSetup},
+    exchange::read_answer,
     socket::Socket,
 };
 use crate::{decide::load::holders::MemberPath, prelude::*, proxy::connection::Permit};
@@ -22,6 +24,8 @@
     pub service: Name,
     /// Id of the member.
     pub member: Name,
+    /// Client account whose statements run on it; `None` for the VM's own.
+    pub account: Option<Name>,
     /// Path to it.
     pub path: MemberPath,
     /// Address of the member, or of the VM that forwards to it.
@@ -44,7 +48,10 @@
         socket: Socket::new(stream)?,
         member: target.member.clone(),
         path: target.path.clone(),
-        variables: BTreeMap::new(),
+        setup: SessionSetup {
+            account: target.account.clone(),
+            variables: BTreeMap::new(),
+        },
         prepared: BTreeSet::new(),
         run_permit: None,
         idle_since_ms: 0,
@@ -54,6 +61,7 @@
     let request = MemberRequest::Open {
         service: &target.service,
         member: &target.member,
+        account: target.account.as_deref(),
     };
     (codec.encode)(&mut output, &request);
     connection.socket.write(output).await?;
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -11,6 +11,10 @@
 };
 use crate::{news::FloorListener, prelude::*};
 
+/// Window in which the limits of client accounts hold, unless the settings name another
+/// one, in milliseconds.
+pub const LIMIT_WINDOW_MS: u64 = 5_000;
+
 /// An order to promote a member.
 #[derive(Clone, Debug)]
 pub struct Promotion {
@@ -71,6 +75,9 @@
     pub on_floor: FloorListener,
     /// Longest time of a graceful shutdown, in milliseconds.
     pub grace_ms: u64,
+    /// Window in which the limits of client accounts hold, in milliseconds.
+    #[builder(default = LIMIT_WINDOW_MS)]
+    pub limit_window_ms: u64,
     /// Time after which a leaving member must get no requests, in milliseconds.
     pub drain_ms: u64,
 }
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -17,7 +17,6 @@
 
 use super::{
     ErrorClass, ListRead, MemberEntry, RelayOptions, ServiceConfig, StatusReport, Vms,
-    connection::SessionVariables,
     member::Member,
     message::{Acquire, Freshness, Granted, Purpose, Refused, ReportError, ServiceMessage},
     open::{Target, open},
@@ -205,7 +204,11 @@
                     member.window.refused(clock::boot_ms());
                 }
             }
-            ServiceMessage::ConnectionOpened { member, result } => self.opened(&member, result),
+            ServiceMessage::ConnectionOpened {
+                member,
+                account,
+                result,
+            } => self.opened(&member, &account, result),
             ServiceMessage::Probed {
                 member,
                 path,
--- a/src/relay/service/connections.rs
+++ b/src/relay/service/connections.rs
@@ -19,19 +19,33 @@
         let (Some(target), Some(member)) = (self.target(id), self.members.get_mut(id)) else {
             return;
         };
-        let has_room = member.window.has_room(member.running + member.opening);
-        let needs_more = member.queue.len() > member.opening && has_room;
-        if !needs_more || member.open >= limit || member.open_after_ms > now_ms {
+        let active = member.running + member.opening_count();
+        if !member.window.has_room(active) || member.open_after_ms > now_ms {
             return;
         }
-        member.opening += 1;
+        let Some(account) = member.unserved_account() else {
+            return;
+        };
+        // An idle connection of another account makes room.
+        if member.open >= limit && !member.evict_idle() {
+            return;
+        }
+        *member.opening.entry(account.clone()).or_default() += 1;
+        let target = Target {
+            account: account.clone(),
+            ..target
+        };
         let permit = self.count_open(id, OpenPurpose::Request);
         let context = self.context.clone();
         let codec = context.options.codecs.member;
         compio::runtime::spawn(async move {
             let member = target.member.clone();
             let result = open(target, codec, permit).await;
-            context.send(ServiceMessage::ConnectionOpened { member, result });
+            context.send(ServiceMessage::ConnectionOpened {
+                member,
+                account,
+                result,
+            });
         })
         .detach();
     }
@@ -73,15 +87,16 @@
     }
 
     pub(super) fn limit(&self, member: &Member) -> usize {
-        let budget = member.budget(self.config.connections_max);
+        let budget = member.budget(self.config.connections_max, self.config.has_accounts);
         budget.limit(member.open)
     }
 
     /// Closes surplus idle connections, so that other VMs can open theirs.
     pub(super) fn trim(&mut self, now_ms: u64) {
         let connections_max = self.config.connections_max;
+        let has_accounts = self.config.has_accounts;
         for member in self.members.values_mut().filter(|m| !m.idle.is_empty()) {
-            let budget = member.budget(connections_max);
+            let budget = member.budget(connections_max, has_accounts);
             member.trim(&budget, now_ms);
         }
     }
@@ -118,12 +133,17 @@
         self.serve_queue(&id);
     }
 
-    pub(super) fn opened(&mut self, id: &Name, result: Result<Connection>) {
+    pub(super) fn opened(&mut self, id: &Name, account: &Option<Name>, result: Result<Connection>) {
         let now_ms = clock::boot_ms();
         let Some(member) = self.members.get_mut(id) else {
             return;
         };
-        member.opening = member.opening.saturating_sub(1);
+        if let Some(count) = member.opening.get_mut(account) {
+            *count -= 1;
+            if *count == 0 {
+                member.opening.remove(account);
+            }
+        }
         match result {
             Ok(connection) if connection.path != *member.path() => self.serve_queue(id),
             Ok(mut connection) => {
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -153,7 +153,7 @@
         };
         if member.queue.is_empty()
             && member.window.has_room(member.running)
-            && let Some(connection) = member.take_idle(&acquire.variables)
+            && let Some(connection) = member.take_idle(&acquire.setup)
         {
             return self.grant(id, connection, acquire);
         }
@@ -217,14 +217,17 @@
             if member.queue.is_empty() || !member.window.has_room(member.running) {
                 return;
             }
-            let Some(connection) = member.take_idle(&SessionVariables::new()) else {
+            let Some(acquire) = member.pop_servable() else {
                 let limit = self.members.get(id).map_or(0, |m| self.limit(m));
                 return self.open_if_needed(id, limit);
             };
-            let Some(acquire) = member.queue.pop() else {
-                return;
-            };
-            self.grant(id, connection, acquire);
+            match member.take_idle(&acquire.setup) {
+                Some(connection) => self.grant(id, connection, acquire),
+                // The idle connections of its account were stale.
+                None => member
+                    .queue
+                    .push(acquire.priority, acquire.deadline_ms, acquire),
+            }
         }
     }
 
--- a/src/relay/service/paths.rs
+++ b/src/relay/service/paths.rs
@@ -1,7 +1,7 @@
 //! Paths to the members: direct, or through VMs that hold connections to them.
 
 use super::*;
-use crate::decide::load::holders::{holders, member_paths};
+use crate::decide::load::holders::{ConnectionSupply, holders, member_paths};
 
 impl Service {
     pub(super) fn change_vms(&mut self, vms: Rc<Vms>) {
@@ -22,17 +22,20 @@
             return;
         }
         let places = &self.vms.places;
-        let connections_max = self.config.connections_max;
+        let supply = ConnectionSupply {
+            connections_max: self.config.connections_max,
+            has_accounts: self.config.has_accounts,
+        };
         let own = &self.context.options.vm;
         let region = self.context.options.region();
         let regions: BTreeSet<&Name> = places.values().map(|place| &place.region).collect();
         let in_region = places.values().filter(|place| place.region == *region);
         let in_region = in_region.count();
         for (id, member) in &mut self.members {
-            let chosen = holders(id, connections_max, places, region);
+            let chosen = holders(id, supply, places, region);
             let holders = chosen.map_or(in_region, |chosen| chosen.len());
             let before = member.path().clone();
-            let paths = member_paths(own, id, connections_max, places);
+            let paths = member_paths(own, id, supply, places);
             member.set_paths(paths, regions.len(), holders);
             if before != *member.path() {
                 decision!(
@@ -66,6 +69,7 @@
         Some(Target {
             service: self.context.service.clone(),
             member: id.clone(),
+            account: None,
             path: path.clone(),
             address,
         })
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -96,7 +96,7 @@
         member.probe_after_us = None;
         member.probe_requested_us = None;
         let idle = match member.failures {
-            0 if path == *member.path() => member.take_idle(&SessionVariables::new()),
+            0 if path == *member.path() => member.take_any_idle(),
             _ => None,
         };
         let probe_connection = match idle {
--- a/src/relay/service/watch.rs
+++ b/src/relay/service/watch.rs
@@ -196,6 +196,7 @@
             target: Target {
                 service: self.context.service.clone(),
                 member: id.clone(),
+                account: None,
                 path: MemberPath::Direct,
                 address: m.entry.address,
             },
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -19,13 +19,19 @@
 use super::{
     Answer, CallerMessage, ErrorClass, RelayError, Result, Route, SessionState, Statement,
     StatementKind,
-    connection::SessionVariables,
-    handle::Shared,
+    connection::SessionSetup,
+    handle::{Shared, UnknownKey},
     prepared::PreparedStatement,
     socket::{self, Socket},
     transaction::Transaction,
 };
-use crate::{clock, decision_log::decision, metrics::label, prelude::*};
+use crate::{
+    clock,
+    decide::load::account::{Account, AccountKey},
+    decision_log::decision,
+    metrics::label,
+    prelude::*,
+};
 
 /// Time for which a stopping VM keeps idle sessions open: the load balancer
 /// stops sending callers after two failed health checks.
@@ -62,7 +68,9 @@
 struct Session<'a> {
     shared: &'a Shared,
     database: Name,
-    variables: Rc<SessionVariables>,
+    /// Key that the caller gave.
+    key: AccountKey,
+    setup: Rc<SessionSetup>,
     prepared: BTreeMap<Bytes, Rc<PreparedStatement>>,
     transaction: Option<Transaction>,
     /// Position of the session's last acknowledged commit: the floor of its reads
@@ -180,7 +188,9 @@
             ),
             StatementKind::Begin { is_read_only } => self.begin(*is_read_only, arrived_us),
             StatementKind::Set { name, value } => {
-                Rc::make_mut(&mut self.variables).insert(name.clone(), value.clone());
+                Rc::make_mut(&mut self.setup)
+                    .variables
+                    .insert(name.clone(), value.clone());
                 Reply::Done
             }
             StatementKind::Prepare {
@@ -213,6 +223,9 @@
         let Some(route) = self.shared.route(&self.database) else {
             return no_route();
         };
+        if let Err(reply) = self.authorize(&route) {
+            return reply;
+        }
         self.transaction = Some(Transaction::new(route, is_read_only, arrived_us));
         Reply::Done
     }
@@ -240,6 +253,10 @@
     }
 }
 
+fn unknown_key() -> Reply {
+    Reply::error(ErrorClass::Unauthorized, UnknownKey.to_string())
+}
+
 fn no_route() -> Reply {
     Reply::error(ErrorClass::NoDatabase, "the database has no route any more")
 }
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -77,6 +77,47 @@
         })
     }
 
+    /// Checks the caller's key against the configuration in force, and lets further
+    /// statements run in the name of its account.
+    pub(super) fn authorize(
+        &mut self,
+        route: &Route,
+    ) -> std::result::Result<Option<Arc<Account>>, Reply> {
+        let account = self.shared.account(route, &self.key);
+        let account = account.map_err(|UnknownKey| unknown_key())?;
+        let name = account.as_ref().map(|account| &account.name);
+        if self.setup.account.as_ref() != name {
+            Rc::make_mut(&mut self.setup).account = name.cloned();
+        }
+        Ok(account)
+    }
+
+    /// Waits until the caller's account may run an operation.
+    pub(super) async fn admit(&mut self) -> std::result::Result<Option<Arc<Account>>, Reply> {
+        let Some(route) = self.shared.route(&self.database) else {
+            return Err(no_route());
+        };
+        let account = self.authorize(&route)?;
+        let Some(limited) = &account else {
+            return Ok(None);
+        };
+        match self.shared.meter.admit(limited).await {
+            Ok(()) => Ok(account),
+            Err(retry_after_ms) => {
+                let text =
+                    format!("the account is over its limit; retry after {retry_after_ms} ms");
+                Err(Reply::Error(ErrorClass::Busy, text))
+            }
+        }
+    }
+
+    /// Gives back the token of an operation that was not sent to any member.
+    pub(super) fn give_back(&self, account: Option<&Account>) {
+        if let Some(account) = account {
+            self.shared.meter.give_back(account);
+        }
+    }
+
     /// Asks the service for a connection.
     pub(super) async fn acquire(
         &self,
@@ -95,7 +136,7 @@
             priority: route.priority,
             is_transaction,
             avoid,
-            variables: self.variables.clone(),
+            setup: self.setup.clone(),
             reply,
         };
         self.send(&route.service, ServiceMessage::Acquire(acquire));
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -62,6 +62,10 @@
             arrived_us,
         };
         let writes = is_write(statement, autocommit.prepared_statement);
+        let account = match self.admit().await {
+            Ok(account) => account,
+            Err(reply) => return reply,
+        };
         let mut avoid = BTreeSet::new();
         let mut failures = 0;
         loop {
@@ -69,6 +73,9 @@
             let Some(route) = self.shared.route(&self.database) else {
                 return no_route();
             };
+            if let Err(reply) = self.authorize(&route) {
+                return reply;
+            }
             let purpose = match self.freshness(&route, arrived_us) {
                 Some(freshness) if !writes => Purpose::Read(freshness),
                 _ => Purpose::Primary(None),
@@ -84,7 +91,12 @@
                 .await;
             let granted = match granted {
                 Ok(granted) => granted,
-                Err(refusal) => return refusal_reply(refusal),
+                Err(refusal) => {
+                    if failures == 0 {
+                        self.give_back(account.as_deref());
+                    }
+                    return refusal_reply(refusal);
+                }
             };
             let member = granted.connection.member.clone();
             let step = match writes {
@@ -141,8 +153,8 @@
         let limit_ms = (route.timeout_ms as f64 * READ_ATTEMPT_SHARE) as u64;
         let limit_ms = limit_ms.min(left_ms(route, autocommit.arrived_us)).max(1);
         let codec = &self.shared.options.codecs.member;
-        let variables = self.variables.clone();
-        let attempt = run(&mut connection, codec, &variables, &call);
+        let setup = self.setup.clone();
+        let attempt = run(&mut connection, codec, &setup, &call);
         let result = self
             .await_answer(service, &member, false, limit_ms, attempt)
             .await;
@@ -229,8 +241,8 @@
         let sent_us = clock::boot_us();
         let limit_ms = left_ms(route, autocommit.arrived_us).max(1);
         let codec = &self.shared.options.codecs.member;
-        let variables = self.variables.clone();
-        let attempt = run(&mut connection, codec, &variables, &call);
+        let setup = self.setup.clone();
+        let attempt = run(&mut connection, codec, &setup, &call);
         let result = self
             .await_answer(service, &member, true, limit_ms, attempt)
             .await;
--- a/src/relay/session/opening.rs
+++ b/src/relay/session/opening.rs
@@ -45,8 +45,8 @@
 ) -> Result<()> {
     let codec = &shared.options.codecs.caller;
     let first = compio::time::timeout(OPEN_TIMEOUT, messages.recv_async()).await;
-    let database = match first {
-        Ok(Ok(Ok(CallerMessage::Open { database }))) => database,
+    let (database, key) = match first {
+        Ok(Ok(Ok(CallerMessage::Open { database, key }))) => (database, key),
         Ok(Ok(Ok(_))) => {
             let text = "a session starts with its opening";
             return refuse(shared, writer, ErrorClass::Malformed, text).await;
@@ -55,12 +55,21 @@
         _ => return Ok(()),
     };
     await_configuration(shared).await;
-    if shared.route(&database).is_none() {
+    let Some(route) = shared.route(&database) else {
         decision!(
             "session", database = &*database, code = Code::UnknownService.number();
             "unknown database requested"
         );
         return refuse(shared, writer, ErrorClass::NoDatabase, "no such database").await;
+    };
+    if let Err(error) = shared.account(&route, &key) {
+        shared
+            .metrics
+            .account_refusals
+            .add(1, &[label("reason", "unknown_key")]);
+        decision!("session", database = &*database; "unknown key refused");
+        let text = error.to_string();
+        return refuse(shared, writer, ErrorClass::Unauthorized, &text).await;
     }
     let mut output = BytesMut::new();
     (codec.ready)(&mut output, SessionState::Idle, None);
@@ -69,7 +78,8 @@
     let mut session = Session {
         shared,
         database,
-        variables: Rc::default(),
+        key,
+        setup: Rc::default(),
         prepared: BTreeMap::new(),
         transaction: None,
         floor: None,
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -30,6 +30,9 @@
         arrived_us: u64,
     ) -> Reply {
         let reply = match transaction.connection.take() {
+            Some(connection) if !self.still_serves(&transaction.route, &connection) => {
+                lost_account()
+            }
             Some(connection) => {
                 self.run_pinned(
                     &mut transaction,
@@ -61,6 +64,10 @@
         prepared_statement: Option<Rc<PreparedStatement>>,
         arrived_us: u64,
     ) -> Reply {
+        let account = match self.admit().await {
+            Ok(account) => account,
+            Err(reply) => return reply,
+        };
         let mut avoid = BTreeSet::new();
         let mut failures = 0;
         loop {
@@ -69,7 +76,12 @@
                 .begin_at_member(transaction, statement, &avoid, arrived_us)
                 .await;
             let reason = match begun {
-                BeginOutcome::Refused(reply) => return reply,
+                BeginOutcome::Refused(reply) => {
+                    if failures == 0 {
+                        self.give_back(account.as_deref());
+                    }
+                    return reply;
+                }
                 BeginOutcome::Retry(reason) => reason,
                 BeginOutcome::Begun(connection, led_term) => {
                     let member = connection.member.clone();
@@ -131,8 +143,8 @@
         };
         let member = connection.member.clone();
         let codec = &self.shared.options.codecs.member;
-        let variables = self.variables.clone();
-        let attempt = begin(&mut connection, codec, &variables, after, is_read_only);
+        let setup = self.setup.clone();
+        let attempt = begin(&mut connection, codec, &setup, after, is_read_only);
         let limit_ms = left_ms(route, arrived_us).max(1);
         let result = self
             .await_answer(&route.service, &member, false, limit_ms, attempt)
@@ -152,6 +164,14 @@
         BeginOutcome::Retry("the member did not begin")
     }
 
+    /// Whether the caller's key still belongs to the account of a connection.
+    fn still_serves(&self, route: &Route, connection: &Connection) -> bool {
+        match self.shared.account(route, &self.key) {
+            Ok(account) => connection.setup.account == account.map(|a| a.name.clone()),
+            Err(UnknownKey) => false,
+        }
+    }
+
     /// Runs a statement on the transaction's connection.
     async fn run_pinned(
         &mut self,
@@ -179,8 +199,8 @@
         };
         let limit_ms = left_ms(&route, arrived_us).max(1);
         let codec = &self.shared.options.codecs.member;
-        let variables = self.variables.clone();
-        let attempt = run(&mut connection, codec, &variables, &call);
+        let setup = self.setup.clone();
+        let attempt = run(&mut connection, codec, &setup, &call);
         let result = self
             .await_answer(service, &member, false, limit_ms, attempt)
             .await;
@@ -234,6 +254,9 @@
             return aborted("nothing was run; the transaction is rolled back");
         };
         let route = transaction.route.clone();
+        if !self.still_serves(&route, &connection) {
+            return lost_account();
+        }
         let service = &route.service;
         let member = connection.member.clone();
         let sent_us = clock::boot_us();
@@ -244,8 +267,8 @@
             wants_report: false,
         };
         let codec = &self.shared.options.codecs.member;
-        let variables = connection.variables.clone();
-        let attempt = run(&mut connection, codec, &variables, &call);
+        let setup = connection.setup.clone();
+        let attempt = run(&mut connection, codec, &setup, &call);
         let is_commit = transaction.has_written;
         let limit_ms = route.timeout_ms;
         let result = self
@@ -282,6 +305,12 @@
     }
 }
 
+/// Reply to a statement in a transaction whose caller's key was taken away. Its member
+/// rolls back when the connection closes.
+fn lost_account() -> Reply {
+    aborted("the key was taken away; the transaction is rolled back")
+}
+
 fn aborted(text: impl Into<String>) -> Reply {
     Reply::error(ErrorClass::Aborted, text)
 }
--- a/tests/decide_relay.rs
+++ b/tests/decide_relay.rs
@@ -14,7 +14,7 @@
         },
         load::admission::AdmissionQueue,
         load::dispatch::{ConnectionBudget, ReadCandidate, choose_reader, is_cut_off, share_count},
-        load::holders::{MemberPath, VmPlace, holders, member_paths},
+        load::holders::{ConnectionSupply, MemberPath, VmPlace, holders, member_paths},
         load::window::Window,
         retry::Backoff,
         takeover::{
@@ -130,6 +130,7 @@
         connections_max: 48,
         shares,
         reported,
+        has_accounts: false,
     }
 }
 
@@ -380,6 +381,13 @@
     assert_eq!(stuck.stuck_ms(3_900), 900);
 }
 
+fn supply(connections_max: usize) -> ConnectionSupply {
+    ConnectionSupply {
+        connections_max,
+        has_accounts: false,
+    }
+}
+
 fn vms(zones: &[(&str, usize, f64)]) -> BTreeMap<Name, VmPlace> {
     let mut vms = BTreeMap::new();
     for (zone, count, weight) in zones {
@@ -405,7 +413,7 @@
 )]
 fn holders_of_a_region(connections_max: usize, here: usize, expected: Option<usize>) {
     let vms = vms(&[("a", here, 1.0), ("b", 2, 1.0), ("c", 4, 1.0)]);
-    let chosen = holders("m", connections_max, &vms, &"a".into());
+    let chosen = holders("m", supply(connections_max), &vms, &"a".into());
     assert_eq!(chosen.map(|chosen| chosen.len()), expected);
 }
 
@@ -416,7 +424,7 @@
     let mut heavy = 0;
     let mut all = 0;
     for member in 0..500 {
-        let chosen = holders(&format!("m{member}"), 10, &vms, &"a".into()).unwrap();
+        let chosen = holders(&format!("m{member}"), supply(10), &vms, &"a".into()).unwrap();
         heavy += chosen.iter().filter(|vm| vm.ends_with("-0.5")).count();
         all += chosen.len();
     }
@@ -432,11 +440,14 @@
 #[test]
 fn holders_stay_when_another_vm_leaves() {
     let before = vms(&[("a", 20, 1.0)]);
-    let chosen = holders("m", 20, &before, &"a".into()).unwrap();
+    let chosen = holders("m", supply(20), &before, &"a".into()).unwrap();
     for vm in before.keys().filter(|vm| !chosen.contains(vm)) {
         let mut after = before.clone();
         after.remove(vm);
-        assert_eq!(holders("m", 20, &after, &"a".into()).unwrap(), chosen);
+        assert_eq!(
+            holders("m", supply(20), &after, &"a".into()).unwrap(),
+            chosen
+        );
     }
 }
 
@@ -445,8 +456,8 @@
     let vms = vms(&[("a", 30, 1.0), ("b", 30, 1.0), ("c", 30, 1.0)]);
     for vm in vms.keys() {
         let region = &vms[vm].region;
-        let chosen = holders("m", 30, &vms, region).unwrap();
-        let paths = member_paths(vm, "m", 30, &vms);
+        let chosen = holders("m", supply(30), &vms, region).unwrap();
+        let paths = member_paths(vm, "m", supply(30), &vms);
         match chosen.contains(vm) {
             true => assert_eq!(paths[0], MemberPath::Direct),
             false => {
@@ -458,7 +469,7 @@
         assert!(paths.len() >= 3, "{paths:?}");
     }
     assert_eq!(
-        member_paths(&"unknown".into(), "m", 30, &vms),
+        member_paths(&"unknown".into(), "m", supply(30), &vms),
         [MemberPath::Direct]
     );
 }
