--- a/src/decide/load/mod.rs
+++ b/src/decide/load/mod.rs
@@ -6,4 +6,5 @@
 pub mod counters;
 pub mod dispatch;
 pub mod holders;
+pub mod memory;
 pub mod window;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -63,6 +63,8 @@
     pub era_changes: Counter<u64>,
     /// Age of the VM's news by table when more arrives, in milliseconds.
     pub news_age_ms: Histogram<f64>,
+    /// Callers that were refused because too many are connected.
+    pub callers_refused: Counter<u64>,
     /// Operations of client accounts that were refused, by reason.
     pub account_refusals: Counter<u64>,
     /// Bytes transferred in calls between VMs, by direction.
@@ -110,6 +112,7 @@
             news_answers: counter("foxtailknot_news_answers"),
             era_changes: counter("foxtailknot_era_changes"),
             news_age_ms: meter.f64_histogram("foxtailknot_news_age_ms").build(),
+            callers_refused: counter("foxtailknot_callers_refused"),
             account_refusals: counter("foxtailknot_account_refusals"),
             peer_bytes: counter("foxtailknot_peer_bytes"),
             _provider: provider,
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -1,7 +1,10 @@
 //! Answers and reports of members.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 
+use super::byte_budget::Reservation;
 use crate::{decide::member::Role, prelude::*};
 
 /// State of a session after an answer.
@@ -65,6 +68,8 @@
     pub state: SessionState,
     /// Position of the member's log, if reported.
     pub position: Option<Position>,
+    /// Memory that is reserved for a large body.
+    pub reservation: Option<Rc<Reservation>>,
 }
 
 /// A member's report of its own status.
--- a/src/relay/connection.rs
+++ b/src/relay/connection.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::socket::Socket;
+use super::socket::{LargeBudget, Socket};
 use crate::{decide::load::holders::MemberPath, prelude::*, proxy::connection::Permit};
 
 /// Variables of a session, set by the caller, by name.
@@ -37,6 +37,8 @@
     pub run_permit: Option<Permit>,
     /// Time since which it is idle, in milliseconds.
     pub idle_since_ms: u64,
+    /// Memory for large answers.
+    pub large_answers: LargeBudget,
     /// Counts it as open until dropped.
     pub _permit: Permit,
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,5 +1,7 @@
 //! Requests and answers on a connection to a member.
 
+use std::rc::Rc;
+
 use bytes::BytesMut;
 
 use super::{
@@ -10,6 +12,9 @@
 };
 use crate::prelude::*;
 
+/// Size from which memory is reserved for an answer before more of it is read.
+const LARGE_ANSWER_BYTES: usize = 16 << 10;
+
 /// Writes the requests that set a caller's account and session variables on a
 /// connection and prepare the statement to be run. Returns the number of requests,
 /// each of which is answered.
@@ -89,9 +94,16 @@
 ///
 /// Returns an error when the connection fails.
 pub async fn read_answer(connection: &mut Connection, codec: &MemberCodec) -> Result<Answer> {
+    let mut reservation = None;
     loop {
         if let Some(answer) = (codec.decode)(&mut connection.socket.input)? {
-            return Ok(answer);
+            return Ok(Answer {
+                reservation: reservation.map(Rc::new),
+                ..answer
+            });
+        }
+        if reservation.is_none() && connection.socket.input.len() >= LARGE_ANSWER_BYTES {
+            reservation = Some(connection.large_answers.reserve().await?);
         }
         connection.socket.fill().await?;
     }
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -15,8 +15,9 @@
 use self::session::ForwardSession;
 use super::{
     ErrorClass, ForwardMessage, Result, SessionState, Take,
+    byte_budget::Reservation,
     handle::Shared,
-    socket::{Socket, read_messages},
+    socket::{Received, Socket, read_messages},
 };
 use crate::{decision_log::decision, prelude::*};
 
@@ -37,7 +38,8 @@
     let writer = socket.writer();
     let (sender, messages) = flume::bounded(BACKLOG);
     let decode = shared.options.codecs.forward.decode;
-    let reader = compio::runtime::spawn(read_messages(socket, sender, decode));
+    let large = shared.options.large_messages.clone();
+    let reader = compio::runtime::spawn(read_messages(socket, sender, decode, large));
     if let Err(error) = serve_session(shared, &writer, &messages).await {
         decision!("forward", reason = error.to_string(); "connection of another VM failed");
     }
@@ -48,9 +50,10 @@
 async fn serve_session(
     shared: &Rc<Shared>,
     writer: &TcpStream,
-    messages: &flume::Receiver<Result<ForwardMessage>>,
+    messages: &flume::Receiver<Received<ForwardMessage>>,
 ) -> Result<()> {
-    let (service, member) = match next_message(messages, IDLE_TIMEOUT).await? {
+    let first = next_message(messages, IDLE_TIMEOUT).await?;
+    let (service, member) = match first.map(|(message, _)| message) {
         Some(ForwardMessage::Open { service, member }) => (service, member),
         Some(ForwardMessage::Take(take)) => {
             return serve_takes(shared, writer, messages, take).await;
@@ -75,7 +78,7 @@
 async fn serve_takes(
     shared: &Shared,
     writer: &TcpStream,
-    messages: &flume::Receiver<Result<ForwardMessage>>,
+    messages: &flume::Receiver<Received<ForwardMessage>>,
     first: Take,
 ) -> Result<()> {
     let mut take = first;
@@ -88,7 +91,8 @@
         if messages.is_empty() {
             super::socket::write(writer, std::mem::take(&mut output)).await?;
         }
-        let Some(ForwardMessage::Take(next)) = next_message(messages, IDLE_TIMEOUT).await? else {
+        let next = next_message(messages, IDLE_TIMEOUT).await?;
+        let Some((ForwardMessage::Take(next), _)) = next else {
             return Ok(());
         };
         take = next;
@@ -98,7 +102,7 @@
 async fn run_session(
     shared: &Shared,
     writer: &TcpStream,
-    messages: &flume::Receiver<Result<ForwardMessage>>,
+    messages: &flume::Receiver<Received<ForwardMessage>>,
     session: &mut ForwardSession,
 ) -> Result<()> {
     let mut read_ahead = None;
@@ -111,15 +115,16 @@
             Some(message) => Some(message),
             None => next_message(messages, limit).await?,
         };
-        let Some(message) = message else {
+        let Some((message, _reservation)) = message else {
             return Ok(());
         };
         let mut output = BytesMut::new();
         // A report requested right after a statement is answered together with it.
         let mut wants_report = false;
         if let ForwardMessage::Run { .. } = message {
-            read_ahead = messages.try_recv().ok().transpose()?;
-            wants_report = matches!(read_ahead, Some(ForwardMessage::Status));
+            let received = messages.try_recv().ok();
+            read_ahead = received.map(Received::into_parts).transpose()?;
+            wants_report = matches!(read_ahead, Some((ForwardMessage::Status, _)));
             read_ahead = read_ahead.filter(|_| !wants_report);
         }
         let stays_open = session.answer(message, wants_report, &mut output).await?;
@@ -130,14 +135,18 @@
     }
 }
 
-/// Next message; `None` once the connection is closed or idle for too long.
+/// Next message, with the memory reserved for it; `None` once the connection is closed or idle for too long.
 async fn next_message(
-    messages: &flume::Receiver<Result<ForwardMessage>>,
+    messages: &flume::Receiver<Received<ForwardMessage>>,
     limit: Duration,
-) -> Result<Option<ForwardMessage>> {
-    match compio::time::timeout(limit, messages.recv_async()).await {
-        Ok(Ok(Ok(message))) => Ok(Some(message)),
-        Ok(Ok(Err(super::RelayError::Closed)) | Err(_)) | Err(_) => Ok(None),
-        Ok(Ok(Err(error))) => Err(error),
+) -> Result<Option<(ForwardMessage, Option<Reservation>)>> {
+    let received = compio::time::timeout(limit, messages.recv_async()).await;
+    let Ok(Ok(received)) = received else {
+        return Ok(None);
+    };
+    match received.into_parts() {
+        Ok(parts) => Ok(Some(parts)),
+        Err(super::RelayError::Closed) => Ok(None),
+        Err(error) => Err(error),
     }
 }
--- a/src/relay/forward/session.rs
+++ b/src/relay/forward/session.rs
@@ -30,7 +30,7 @@
     service: Name,
     member: Name,
     /// Messages of the VM; disconnected once the VM has closed the connection.
-    messages: flume::Receiver<Result<ForwardMessage>>,
+    messages: flume::Receiver<Received<ForwardMessage>>,
     setup: Rc<SessionSetup>,
     prepared: BTreeMap<Name, PreparedStatement>,
     /// Connection to the member while a transaction is open.
@@ -43,7 +43,7 @@
         shared: Rc<Shared>,
         service: Name,
         member: Name,
-        messages: flume::Receiver<Result<ForwardMessage>>,
+        messages: flume::Receiver<Received<ForwardMessage>>,
     ) -> ForwardSession {
         ForwardSession {
             shared,
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -1,9 +1,6 @@
 //! The relay of a VM: its configuration, members, listeners and shutdown.
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-};
+use std::{cell::RefCell, rc::Rc};
 
 use compio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -11,6 +8,7 @@
 use super::{
     ErrorClass, MemberList, RelayConfig, RelayOptions, Route, Vms,
     accounts::AccountMeter,
+    callers::Callers,
     forward,
     message::ServiceMessage,
     service,
@@ -52,8 +50,8 @@
     /// Mailboxes of the services.
     services: RefCell<BTreeMap<Name, flume::Sender<ServiceMessage>>>,
     member_list: RefCell<MemberList>,
-    /// Number of connected callers.
-    pub sessions: Cell<usize>,
+    /// Connected callers.
+    pub callers: Rc<Callers>,
     /// Time at which the VM began to stop, in milliseconds; `None` while it serves.
     pub stopping: watch::Receiver<Option<u64>>,
 }
@@ -149,7 +147,7 @@
             config: RefCell::new(None),
             services: RefCell::new(BTreeMap::new()),
             member_list: RefCell::new(MemberList::default()),
-            sessions: Cell::new(0),
+            callers: Rc::default(),
             stopping,
         };
         Relay {
@@ -272,10 +270,13 @@
         loop {
             let stream = next_connection(&listener).await;
             let shared = self.shared.clone();
+            let limits = &shared.options.caller_limits;
+            let Some(connected) = shared.callers.connect(limits) else {
+                self.shared.metrics.callers_refused.add(1, &[]);
+                continue;
+            };
             compio::runtime::spawn(async move {
-                shared.sessions.set(shared.sessions.get() + 1);
-                session::serve(&shared, stream).await;
-                shared.sessions.set(shared.sessions.get() - 1);
+                session::serve(&shared, stream, connected).await;
             })
             .detach();
         }
@@ -298,19 +299,19 @@
         let since_ms = clock::boot_ms();
         let end_ms = since_ms + self.shared.options.grace_ms.saturating_sub(STOP_RESERVE_MS);
         log::info!(
-            target: "stop", sessions = self.shared.sessions.get(); "stopping"
+            target: "stop", sessions = self.shared.callers.count(); "stopping"
         );
         self.stop.send_replace(Some(since_ms));
         self.update_readiness();
         while clock::boot_ms() < end_ms {
             let is_lingering = clock::boot_ms() < since_ms + STOP_LINGER_MS;
-            if !is_lingering && self.shared.sessions.get() == 0 {
+            if !is_lingering && self.shared.callers.count() == 0 {
                 break;
             }
             compio::time::sleep(STOP_POLL).await;
         }
         log::info!(
-            target: "stop", sessions = self.shared.sessions.get(),
+            target: "stop", sessions = self.shared.callers.count(),
             took_ms = clock::boot_ms() - since_ms; "stopped"
         );
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,8 @@
 
 mod accounts;
 mod answer;
+mod byte_budget;
+mod callers;
 mod codec;
 mod config;
 mod connection;
--- a/src/relay/open.rs
+++ b/src/relay/open.rs
@@ -6,7 +6,7 @@
 use compio::net::TcpStream;
 
 use super::{
-    MemberCodec, MemberRequest, RelayError, Result,
+    MemberRequest, RelayError, RelayOptions, Result,
     connection::{Connection, SessionSetup},
     exchange::read_answer,
     socket::Socket,
@@ -37,12 +37,13 @@
 /// # Errors
 ///
 /// Returns an error when no answer comes in time or the member refuses.
-pub async fn open(target: Target, codec: MemberCodec, permit: Permit) -> Result<Connection> {
-    let opened = compio::time::timeout(OPEN_TIMEOUT, connect(target, codec, permit)).await;
+pub async fn open(target: Target, options: &RelayOptions, permit: Permit) -> Result<Connection> {
+    let opened = compio::time::timeout(OPEN_TIMEOUT, connect(target, options, permit)).await;
     opened.map_err(|_| RelayError::Timeout)?
 }
 
-async fn connect(target: Target, codec: MemberCodec, permit: Permit) -> Result<Connection> {
+async fn connect(target: Target, options: &RelayOptions, permit: Permit) -> Result<Connection> {
+    let codec = options.codecs.member;
     let stream = TcpStream::connect(target.address).await?;
     let mut connection = Connection {
         socket: Socket::new(stream)?,
@@ -55,6 +56,7 @@
         prepared: BTreeSet::new(),
         run_permit: None,
         idle_since_ms: 0,
+        large_answers: options.large_answers.clone(),
         _permit: permit,
     };
     let mut output = BytesMut::new();
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -4,12 +4,12 @@
 
 use futures::future::LocalBoxFuture;
 
-use super::Codecs;
+use super::{Codecs, socket::LargeBudget};
 pub use crate::decide::{
     attempt::{ListRead, PromoteOutcome},
     claim::{Claim, OrderRecord},
 };
-use crate::{news::FloorListener, prelude::*};
+use crate::{decide::load::memory::CallerLimits, news::FloorListener, prelude::*};
 
 /// Window in which the limits of client accounts hold, unless the settings name another
 /// one, in milliseconds.
@@ -75,6 +75,15 @@
     pub on_floor: FloorListener,
     /// Longest time of a graceful shutdown, in milliseconds.
     pub grace_ms: u64,
+    /// Limits on what callers make the VM hold.
+    #[builder(default)]
+    pub caller_limits: CallerLimits,
+    /// Memory for large messages, within these limits.
+    #[builder(skip = LargeBudget::for_messages(&caller_limits))]
+    pub large_messages: LargeBudget,
+    /// Memory for large answers, within these limits.
+    #[builder(skip = LargeBudget::for_answers(&caller_limits))]
+    pub large_answers: LargeBudget,
     /// Window in which the limits of client accounts hold, in milliseconds.
     #[builder(default = LIMIT_WINDOW_MS)]
     pub limit_window_ms: u64,
--- a/src/relay/service/connections.rs
+++ b/src/relay/service/connections.rs
@@ -37,10 +37,9 @@
         };
         let permit = self.count_open(id, OpenPurpose::Request);
         let context = self.context.clone();
-        let codec = context.options.codecs.member;
         compio::runtime::spawn(async move {
             let member = target.member.clone();
-            let result = open(target, codec, permit).await;
+            let result = open(target, &context.options, permit).await;
             context.send(ServiceMessage::ConnectionOpened {
                 member,
                 account,
--- a/src/relay/service/probe.rs
+++ b/src/relay/service/probe.rs
@@ -9,8 +9,7 @@
         term_reports_needed,
     },
     relay::{
-        MemberCodec, MemberRequest, RelayError, Result, connection::Connection, exchange,
-        message::ProbeAnswer,
+        MemberRequest, RelayError, Result, connection::Connection, exchange, message::ProbeAnswer,
     },
 };
 
@@ -106,9 +105,8 @@
         let context = self.context.clone();
         let member = id.clone();
         compio::runtime::spawn(async move {
-            let codec = context.options.codecs.member;
-            let result =
-                compio::time::timeout(PROBE_TIMEOUT, probe(probe_connection, &codec)).await;
+            let probed = probe(probe_connection, &context.options);
+            let result = compio::time::timeout(PROBE_TIMEOUT, probed).await;
             let result = result.unwrap_or(Err(RelayError::Timeout));
             context.send(ServiceMessage::Probed {
                 member,
@@ -341,11 +339,12 @@
     New(Target, Permit),
 }
 
-async fn probe(probe_connection: ProbeConnection, codec: &MemberCodec) -> Result<ProbeAnswer> {
+async fn probe(probe_connection: ProbeConnection, options: &RelayOptions) -> Result<ProbeAnswer> {
     let (mut connection, is_new) = match probe_connection {
         ProbeConnection::Open(connection) => (*connection, false),
-        ProbeConnection::New(target, permit) => (open(target, *codec, permit).await?, true),
+        ProbeConnection::New(target, permit) => (open(target, options, permit).await?, true),
     };
+    let codec = &options.codecs.member;
     let report = exchange::request_report(&mut connection, codec, &MemberRequest::Status).await?;
     Ok(ProbeAnswer {
         connection,
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -2,15 +2,17 @@
 
 mod attempt;
 mod autocommit;
+mod memory;
 mod opening;
 mod transact;
 mod wait;
 
+use memory::SessionMemory;
 pub use opening::serve;
 use opening::{refuse, refuse_invalid};
 use wait::Wake;
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use bytes::{Bytes, BytesMut};
 use compio::net::TcpStream;
@@ -19,15 +21,19 @@
 use super::{
     Answer, CallerMessage, ErrorClass, RelayError, Result, Route, SessionState, Statement,
     StatementKind,
+    byte_budget::Reservation,
     connection::SessionSetup,
     handle::{Shared, UnknownKey},
     prepared::PreparedStatement,
-    socket::{self, Socket},
+    socket::{self, Received, Socket},
     transaction::Transaction,
 };
 use crate::{
     clock,
-    decide::load::account::{Account, AccountKey},
+    decide::load::{
+        account::{Account, AccountKey},
+        memory::CallerPhase,
+    },
     decision_log::decision,
     metrics::label,
     prelude::*,
@@ -67,6 +73,8 @@
 
 struct Session<'a> {
     shared: &'a Shared,
+    /// What the caller is doing, for those that may have to make room.
+    phase: &'a Cell<CallerPhase>,
     database: Name,
     /// Key that the caller gave.
     key: AccountKey,
@@ -78,24 +86,32 @@
     floor: Option<Position>,
     /// Position reported to the caller with each answer.
     position: Option<Position>,
+    /// Memory of its variables and prepared statements.
+    memory: SessionMemory,
 }
 
 impl Session<'_> {
     async fn run(
         &mut self,
         writer: &TcpStream,
-        messages: &flume::Receiver<Result<CallerMessage>>,
+        messages: &flume::Receiver<Received<CallerMessage>>,
     ) -> Result<()> {
         let stop_delay_ms = rand::rng().random_range(0..STOP_SPREAD_MS);
         loop {
-            match self.wait(messages, stop_delay_ms).await {
-                Wake::Message(CallerMessage::Statement(statement)) => {
+            self.phase.set(match self.transaction {
+                None => CallerPhase::Idle(clock::boot_ms()),
+                Some(_) => CallerPhase::Busy,
+            });
+            let wake = self.wait(messages, stop_delay_ms).await;
+            self.phase.set(CallerPhase::Busy);
+            match wake {
+                Wake::Message(CallerMessage::Statement(statement), _reservation) => {
                     let mut output = BytesMut::new();
-                    self.answer(&statement, &mut output).await;
-                    socket::write(writer, output).await?;
+                    let _answer_reservation = self.answer(&statement, &mut output).await;
+                    socket::write_to_caller(writer, output).await?;
                 }
-                Wake::Message(CallerMessage::Close) | Wake::Closed => return Ok(()),
-                Wake::Message(CallerMessage::Open { .. }) => {
+                Wake::Message(CallerMessage::Close, _) | Wake::Closed => return Ok(()),
+                Wake::Message(CallerMessage::Open { .. }, _) => {
                     let text = "the session is open already";
                     return refuse(self.shared, writer, ErrorClass::Malformed, text).await;
                 }
@@ -109,7 +125,12 @@
         }
     }
 
-    async fn answer(&mut self, statement: &Statement, output: &mut BytesMut) {
+    /// Writes the answer to a statement. Returns the memory that is reserved for it.
+    async fn answer(
+        &mut self,
+        statement: &Statement,
+        output: &mut BytesMut,
+    ) -> Option<Rc<Reservation>> {
         let arrived_us = clock::boot_us();
         let reply = self.execute(statement, arrived_us).await;
         let codec = &self.shared.options.codecs.caller;
@@ -123,12 +144,17 @@
         let took_ms = took_us / 1_000;
         self.record_metrics(kind, outcome, took_us);
         self.log_statement(statement, kind, outcome, reason, took_ms);
+        let mut reservation = None;
         match reply {
-            Reply::Answer(answer) => output.extend_from_slice(&answer.body),
+            Reply::Answer(answer) => {
+                output.extend_from_slice(&answer.body);
+                reservation = answer.reservation;
+            }
             Reply::Done => (codec.complete)(output),
             Reply::Error(class, text) => (codec.error)(output, class, &text),
         }
         (codec.ready)(output, self.state(), self.position);
+        reservation
     }
 
     fn record_metrics(&self, kind: &'static str, outcome: &'static str, took_us: u64) {
@@ -169,6 +195,15 @@
         }
     }
 
+    /// Accounts for a variable or prepared statement of `bytes` that the caller adds.
+    fn grow(&mut self, bytes: usize) -> std::result::Result<(), Reply> {
+        let budget = &self.shared.options.large_messages.bytes;
+        self.memory.grow(bytes, budget).map_err(|reason| {
+            decision!("session", limit = "session_state", reason = reason; "session may not grow");
+            Reply::error(ErrorClass::TooBig, reason)
+        })
+    }
+
     fn state(&self) -> SessionState {
         match &self.transaction {
             None => SessionState::Idle,
@@ -188,6 +223,9 @@
             ),
             StatementKind::Begin { is_read_only } => self.begin(*is_read_only, arrived_us),
             StatementKind::Set { name, value } => {
+                if let Err(reply) = self.grow(name.len() + value.len()) {
+                    return reply;
+                }
                 Rc::make_mut(&mut self.setup)
                     .variables
                     .insert(name.clone(), value.clone());
@@ -198,6 +236,9 @@
                 access,
                 definition,
             } => {
+                if let Err(reply) = self.grow(name.len() + definition.len()) {
+                    return reply;
+                }
                 let prepared_statement = PreparedStatement::new(*access, definition.clone());
                 self.prepared
                     .insert(name.clone(), Rc::new(prepared_statement));
--- a/src/relay/session/opening.rs
+++ b/src/relay/session/opening.rs
@@ -1,12 +1,17 @@
 //! Opening of a session, and the refusals sent to callers.
 
+use std::future::Future;
+
+use futures::future::{Either, select};
+
 use super::*;
-use crate::relay::socket::read_messages;
+use crate::relay::{
+    callers::ConnectedCaller,
+    socket::{MESSAGE_MAX_BYTES, read_messages},
+};
 
-/// Largest message of a caller; the configuration may lower it.
-const MESSAGE_MAX_BYTES: usize = 1 << 20;
-/// Messages of a caller that are read ahead.
-const BACKLOG: usize = 16;
+/// Messages of a caller that are read ahead, so that its leaving is noticed.
+const BACKLOG: usize = 1;
 /// Time within which a caller must open its session.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest wait for the first configuration: shorter than the timeouts of callers.
@@ -14,7 +19,7 @@
 const CONFIGURATION_POLL: Duration = Duration::from_millis(20);
 
 /// Serves a caller until its connection ends.
-pub async fn serve(shared: &Rc<Shared>, stream: TcpStream) {
+pub async fn serve(shared: &Rc<Shared>, stream: TcpStream, mut connected: ConnectedCaller) {
     let Ok(socket) = Socket::new(stream) else {
         return;
     };
@@ -22,16 +27,41 @@
     let (sender, messages) = flume::bounded(BACKLOG);
     let limit = message_limit(shared);
     let decode = shared.options.codecs.caller.decode;
-    let reader = compio::runtime::spawn(read_messages(socket, sender, move |input| {
-        decode(input, limit)
-    }));
-    if let Err(error) = serve_session(shared, &writer, &messages).await {
+    let reader = compio::runtime::spawn(read_messages(
+        socket,
+        sender,
+        move |input| decode(input, limit),
+        shared.options.large_messages.clone(),
+    ));
+    let phase = connected.phase.clone();
+    let served = serve_session(shared, &writer, &messages, &phase);
+    if let Err(error) = serve_until_closed(&mut connected, &messages, served).await {
         decision!("session", reason = error.to_string(); "session failed");
     }
     // Cancels the reader task, which owns the last handle of the socket.
     drop(reader);
 }
 
+/// Serves a caller until its session ends, or until it is to make room for another one
+/// while it waits for nothing.
+async fn serve_until_closed(
+    connected: &mut ConnectedCaller,
+    messages: &flume::Receiver<Received<CallerMessage>>,
+    served: impl Future<Output = Result<()>>,
+) -> Result<()> {
+    let served = std::pin::pin!(served);
+    match select(served, &mut connected.closing).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right((_, served)) => {
+            if connected.phase.get() != CallerPhase::Busy && messages.is_empty() {
+                return Ok(());
+            }
+            // It has begun to run a statement meanwhile.
+            served.await
+        }
+    }
+}
+
 fn message_limit(shared: &Shared) -> usize {
     let config = shared.config.borrow();
     let limit = config.as_ref().map(|c| c.limits.message_bytes);
@@ -41,10 +71,12 @@
 async fn serve_session(
     shared: &Rc<Shared>,
     writer: &TcpStream,
-    messages: &flume::Receiver<Result<CallerMessage>>,
+    messages: &flume::Receiver<Received<CallerMessage>>,
+    phase: &Cell<CallerPhase>,
 ) -> Result<()> {
     let codec = &shared.options.codecs.caller;
     let first = compio::time::timeout(OPEN_TIMEOUT, messages.recv_async()).await;
+    let first = first.map(|received| received.map(|received| received.message));
     let (database, key) = match first {
         Ok(Ok(Ok(CallerMessage::Open { database, key }))) => (database, key),
         Ok(Ok(Ok(_))) => {
@@ -73,10 +105,11 @@
     }
     let mut output = BytesMut::new();
     (codec.ready)(&mut output, SessionState::Idle, None);
-    socket::write(writer, output).await?;
+    socket::write_to_caller(writer, output).await?;
     shared.metrics.callers.add(1, &[]);
     let mut session = Session {
         shared,
+        phase,
         database,
         key,
         setup: Rc::default(),
@@ -84,6 +117,7 @@
         transaction: None,
         floor: None,
         position: None,
+        memory: SessionMemory::default(),
     };
     let ended = session.run(writer, messages).await;
     shared.metrics.callers.add(-1, &[]);
@@ -106,7 +140,7 @@
 ) -> Result<()> {
     let mut output = BytesMut::new();
     (shared.options.codecs.caller.error)(&mut output, class, text);
-    socket::write(writer, output).await
+    socket::write_to_caller(writer, output).await
 }
 
 /// Reports an invalid message to the caller, unless the connection is closed.
--- a/src/relay/session/wait.rs
+++ b/src/relay/session/wait.rs
@@ -6,7 +6,7 @@
 
 /// What ends a session's wait.
 pub(super) enum Wake {
-    Message(CallerMessage),
+    Message(CallerMessage, Option<Reservation>),
     Broken(RelayError),
     Closed,
     /// The VM is stopping, or the transaction was idle for too long.
@@ -17,16 +17,19 @@
     /// Waits for a message, or until the session or its transaction must end.
     pub(super) async fn wait(
         &self,
-        messages: &flume::Receiver<Result<CallerMessage>>,
+        messages: &flume::Receiver<Received<CallerMessage>>,
         stop_delay_ms: u64,
     ) -> Wake {
-        let wake =
-            |received: std::result::Result<Result<CallerMessage>, flume::RecvError>| match received
-            {
-                Ok(Ok(message)) => Wake::Message(message),
-                Ok(Err(RelayError::Closed)) | Err(_) => Wake::Closed,
-                Ok(Err(error)) => Wake::Broken(error),
+        let wake = |received: std::result::Result<Received<CallerMessage>, flume::RecvError>| {
+            let Ok(received) = received else {
+                return Wake::Closed;
             };
+            match received.message {
+                Ok(message) => Wake::Message(message, received.reservation),
+                Err(RelayError::Closed) => Wake::Closed,
+                Err(error) => Wake::Broken(error),
+            }
+        };
         let mut stopping = self.shared.stopping.clone();
         loop {
             let stop_ms = *stopping.borrow_and_update();
--- a/src/relay/socket.rs
+++ b/src/relay/socket.rs
@@ -7,12 +7,31 @@
     net::TcpStream,
 };
 
-use super::{RelayError, Result};
-use crate::proxy::wire::is_open_and_idle;
+use super::{
+    RelayError, Result,
+    byte_budget::{ByteBudget, Reservation},
+};
+use crate::{
+    decide::load::memory::CallerLimits, decision_log::decision, prelude::*,
+    proxy::wire::is_open_and_idle,
+};
 
 /// Bytes reserved before a read: most requests and answers fit.
 const READ_BYTES: usize = 2 << 10;
 
+/// Largest message of a caller; the configuration may lower it.
+pub const MESSAGE_MAX_BYTES: usize = 1 << 20;
+/// Size from which memory is reserved for a message before more of it is read.
+const LARGE_BYTES: usize = 8 << 10;
+/// Longest wait for the memory of a large message. A caller whose message is not read
+/// until then is closed.
+const RESERVE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time for the rest of a large message, once its memory is reserved: one of 1 MiB
+/// takes a second at 10 Mbit/s.
+const LARGE_MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time in which a caller must read an answer.
+const CALLER_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A socket with its input buffer, owned by one task.
 pub struct Socket {
     stream: TcpStream,
@@ -92,26 +111,138 @@
     Ok(result?)
 }
 
+/// Writes all of `output` to a caller, which must read it in a reasonable time.
+///
+/// # Errors
+///
+/// Returns an error when the connection fails or the caller does not read.
+pub async fn write_to_caller(stream: &TcpStream, output: BytesMut) -> Result<()> {
+    let written = compio::time::timeout(CALLER_WRITE_TIMEOUT, write(stream, output)).await;
+    written.map_err(|_| RelayError::Timeout)?
+}
+
+/// A message, with the memory that is reserved for it.
+pub struct Received<T> {
+    /// The message, or the error that ends the connection.
+    pub message: Result<T>,
+    /// Memory of a large message, given back once it is handled.
+    pub reservation: Option<Reservation>,
+}
+
+impl<T> Received<T> {
+    /// The message and the memory reserved for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error that ends the connection.
+    pub fn into_parts(self) -> Result<(T, Option<Reservation>)> {
+        self.message.map(|message| (message, self.reservation))
+    }
+}
+
+/// Memory for messages, or for answers, that are larger than usual.
+#[derive(Clone)]
+pub struct LargeBudget {
+    /// What it is for, in logs.
+    kind: &'static str,
+    /// The memory of all connections.
+    pub bytes: ByteBudget,
+    /// What is reserved for one, in bytes.
+    cost_bytes: u64,
+}
+
+impl LargeBudget {
+    /// Creates the memory for messages that the limits allow.
+    pub fn for_messages(limits: &CallerLimits) -> LargeBudget {
+        LargeBudget {
+            kind: "large_messages",
+            bytes: ByteBudget::new(limits.messages_bytes),
+            cost_bytes: limits.large_cost_bytes(MESSAGE_MAX_BYTES),
+        }
+    }
+
+    /// Creates the memory for answers that the limits allow.
+    pub fn for_answers(limits: &CallerLimits) -> LargeBudget {
+        LargeBudget {
+            kind: "large_answers",
+            bytes: ByteBudget::new(limits.answers_bytes),
+            cost_bytes: limits.large_cost_bytes(MESSAGE_MAX_BYTES),
+        }
+    }
+
+    /// Reserves the memory of one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RelayError::Timeout`] when none becomes free in time.
+    pub async fn reserve(&self) -> Result<Reservation> {
+        let reserved = self.bytes.reserve(self.cost_bytes, RESERVE_TIMEOUT).await;
+        reserved.ok_or_else(|| {
+            decision!(
+                "memory", limit = self.kind, cost_bytes = self.cost_bytes;
+                "no memory became free in time"
+            );
+            RelayError::Timeout
+        })
+    }
+}
+
 /// Reads messages into a channel until the first error, which is sent as well.
 /// Runs as a task of its own: a receiver that stops waiting for a message does
 /// not cancel a read half-way, which would lose data.
+///
+/// A large message is read once memory is reserved for it, and must then arrive in time.
 pub async fn read_messages<T>(
     mut socket: Socket,
-    messages: flume::Sender<Result<T>>,
+    messages: flume::Sender<Received<T>>,
     decode: impl Fn(&mut BytesMut) -> Result<Option<T>>,
+    large: LargeBudget,
 ) {
     loop {
-        let message = match decode(&mut socket.input) {
-            Ok(Some(message)) => Ok(message),
-            Ok(None) => match socket.fill().await {
-                Ok(()) => continue,
-                Err(error) => Err(error),
-            },
-            Err(error) => Err(error),
+        let (message, reservation) = match read_message(&mut socket, &decode, &large).await {
+            Ok((message, reservation)) => (Ok(message), reservation),
+            Err(error) => (Err(error), None),
         };
         let is_last = message.is_err();
-        if messages.send_async(message).await.is_err() || is_last {
+        let received = Received {
+            message,
+            reservation,
+        };
+        if messages.send_async(received).await.is_err() || is_last {
             return;
         }
     }
 }
+
+async fn read_message<T>(
+    socket: &mut Socket,
+    decode: &impl Fn(&mut BytesMut) -> Result<Option<T>>,
+    large: &LargeBudget,
+) -> Result<(T, Option<Reservation>)> {
+    if let Some(message) = read_up_to(socket, decode, LARGE_BYTES).await? {
+        return Ok((message, None));
+    }
+    let reservation = large.reserve().await?;
+    let rest = read_up_to(socket, decode, usize::MAX);
+    let message = compio::time::timeout(LARGE_MESSAGE_TIMEOUT, rest).await;
+    let message = message.map_err(|_| RelayError::Timeout)??;
+    let message = message.ok_or(RelayError::Closed)?;
+    Ok((message, Some(reservation)))
+}
+
+/// Reads the next message; `None` once `max_bytes` of it are buffered.
+async fn read_up_to<T>(
+    socket: &mut Socket,
+    decode: &impl Fn(&mut BytesMut) -> Result<Option<T>>,
+    max_bytes: usize,
+) -> Result<Option<T>> {
+    loop {
+        if let Some(message) = decode(&mut socket.input)? {
+            return Ok(Some(message));
+        }
+        if socket.input.len() >= max_bytes {
+            return Ok(None);
+        }
+        socket.fill().await?;
+    }
+}
--- a/src/relay/takeover/orders.rs
+++ b/src/relay/takeover/orders.rs
@@ -58,9 +58,8 @@
         target: &Target,
         order: &MemberRequest<'_>,
     ) -> Result<StatusReport> {
-        let codec = self.context.options.codecs.member;
         // These connections are few and short-lived, so they are not counted.
-        let connection = open(target.clone(), codec, Permit::new(|| {})).await?;
+        let connection = open(target.clone(), &self.context.options, Permit::new(|| {})).await?;
         connection.socket.reset_when_closed()?;
         self.send_on(connection, target, order).await
     }
