--- a/src/relay/socket.rs
+++ b/src/relay/socket.rs
@@ -37,6 +37,8 @@
     stream: TcpStream,
     /// Received bytes that are not decoded yet.
     pub input: BytesMut,
+    /// Whether the buffer has grown for a large message.
+    has_grown: bool,
 }
 
 impl Socket {
@@ -51,6 +53,7 @@
         Ok(Socket {
             stream,
             input: BytesMut::new(),
+            has_grown: false,
         })
     }
 
@@ -76,9 +79,15 @@
     /// Returns [`RelayError::Closed`] at the end of the stream.
     pub async fn fill(&mut self) -> Result<()> {
         let mut buffer = std::mem::take(&mut self.input);
+        if buffer.is_empty() && self.has_grown {
+            // The empty rest would keep the memory of the large message.
+            buffer = BytesMut::new();
+            self.has_grown = false;
+        }
         buffer.reserve(READ_BYTES);
         let BufResult(result, buffer) = (&self.stream).append(buffer).await;
         self.input = buffer;
+        self.has_grown |= self.input.len() >= LARGE_BYTES;
         match result? {
             0 => Err(RelayError::Closed),
             _ => Ok(()),
