--- a/src/decide/load/account.rs
+++ b/src/decide/load/account.rs
@@ -13,7 +13,7 @@
 }
 
 /// Limit on the operations of an account, over all VMs.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RateLimit {
     /// Version of the configuration that sets it.
     pub version: u64,
--- a/src/decide/load/allotment.rs
+++ b/src/decide/load/allotment.rs
@@ -16,10 +16,9 @@
 const ON_THE_WAY_MS: u64 = 250;
 /// Time over which a burst is paced, in milliseconds.
 const PACE_MS: u64 = 1_000;
-/// Part of a window's tokens that may be granted in that time. Little more than the even
-/// share, so that a counter that starts anew, which takes the past for even, grants at
-/// most a tenth too much.
-const PACE_SHARE: f64 = 0.22;
+/// Part of a window's tokens that may be granted in that time: the even share, since a
+/// counter that starts anew takes the past for even.
+const PACE_SHARE: f64 = 0.2;
 /// Tokens that may be granted in that time in any case: accounts with low rates.
 const PACE_MIN: u32 = 5;
 
@@ -33,11 +32,12 @@
 /// Time after which an operation counts half in a VM's estimate of its demand.
 const DEMAND_HALF_LIFE_MS: f64 = 500.0;
 /// Part of a limit that all VMs which reach no counter may let pass together. Customers
-/// tolerate a tenth, of which operations on their way need the rest.
-const CUT_OFF_SHARE: f64 = 0.05;
+/// tolerate a tenth; operations on their way, and two counters that follow one another,
+/// need the rest.
+const CUT_OFF_SHARE: f64 = 0.025;
 /// Operations in a window that may pass in the same manner in any case; customers tolerate
 /// 20.
-const CUT_OFF_OPERATIONS: f64 = 10.0;
+const CUT_OFF_OPERATIONS: f64 = 5.0;
 
 /// Answer to a request for tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/relay/accounts/meter.rs
+++ b/src/relay/accounts/meter.rs
@@ -4,6 +4,7 @@
 use std::{collections::VecDeque, net::SocketAddr, rc::Rc};
 
 use futures::channel::oneshot;
+use rand::seq::IteratorRandom;
 
 use super::{
     Take,
@@ -14,7 +15,9 @@
     decide::load::{
         account::{Account, RateLimit},
         allotment::{Credit, Grant, WindowCount},
-        counters::{CONTACT_MS, Counter, FAILED_MS, choose_counter, counters},
+        counters::{
+            CONTACT_MS, Counter, FAILED_MS, PROVE_CONTACT_MS, PeerHealth, choose_counter, counters,
+        },
     },
     decision_log::decision,
     metrics::{Metrics, label},
@@ -35,11 +38,19 @@
 /// Longest time for which an operation waits for a token, in milliseconds: a counter
 /// that does not answer, and its first deputy.
 const WAIT_MS: u64 = 600;
+/// Time after which a VM should ask again while it is not clear who counts, in
+/// milliseconds.
+const UNDECIDED_MS: u64 = 200;
 /// Time after the start for which operations wait for the list of VMs, in milliseconds.
 const VMS_WAIT_MS: u64 = 6_000;
 /// Time after its start of which a counter does not know what was granted, in
 /// milliseconds: other VMs may still ask the deputy that granted in its absence.
 const OVERLAP_MS: u64 = FAILED_MS;
+/// Number of VMs that are asked at once to prove contact: some of those that are listed may
+/// have ended.
+const CONTACTS: usize = 2;
+/// Account that such a question names.
+const CONTACT_ACCOUNT: &str = "-";
 /// Time after which the state of an unused account is dropped, in milliseconds. A
 /// window is over by then.
 const IDLE_MS: u64 = 60_000;
@@ -74,6 +85,8 @@
 enum Inquiry {
     /// Operations of this VM's callers need them.
     Own { account: Name },
+    /// To prove contact.
+    Contact,
     /// A VM that does not reach it asked this VM instead.
     Passed {
         take: Take,
@@ -173,8 +186,8 @@
     rankings: BTreeMap<Name, Rc<Vec<Name>>>,
     vms: Rc<Vms>,
     peers: BTreeMap<Name, Peer>,
-    /// Time until which VMs that have not answered are not asked, in milliseconds.
-    failed_until_ms: BTreeMap<Name, u64>,
+    /// Whether the VMs answer that were asked; missing if they always did.
+    health: BTreeMap<Name, PeerHealth>,
     /// Time since which this VM has counted without a break, in milliseconds.
     counting_since_ms: u64,
     /// Whether nothing can have been granted before.
@@ -205,7 +218,7 @@
             rankings: BTreeMap::new(),
             vms: Rc::default(),
             peers: BTreeMap::new(),
-            failed_until_ms: BTreeMap::new(),
+            health: BTreeMap::new(),
             counting_since_ms: now_ms,
             started_ms: now_ms,
             contact_ms: now_ms,
@@ -230,7 +243,7 @@
         }
     }
 
-    /// Starts to count anew after a suspension: a deputy has counted meanwhile.
+    /// Starts to count anew after a suspension.
     fn note_time(&mut self) {
         let now_ms = clock::boot_ms();
         let pause_ms = now_ms.saturating_sub(self.passed_ms);
@@ -238,6 +251,12 @@
         if pause_ms < SUSPENDED_MS {
             return;
         }
+        self.count_anew(pause_ms);
+    }
+
+    /// Takes the last window for granted: a deputy has counted meanwhile.
+    fn count_anew(&mut self, pause_ms: u64) {
+        let now_ms = self.passed_ms;
         decision!("account", pause_ms = pause_ms, accounts = self.counts.len(); "counting anew");
         self.counting_since_ms = now_ms;
         self.is_first_start = false;
@@ -246,6 +265,35 @@
         }
     }
 
+    /// Records a message from another VM.
+    fn note_contact(&mut self) {
+        let pause_ms = self.passed_ms.saturating_sub(self.contact_ms);
+        if pause_ms >= CONTACT_MS && !self.counts.is_empty() {
+            self.count_anew(pause_ms);
+        }
+        self.contact_ms = self.passed_ms;
+    }
+
+    /// Asks some VM to prove contact, where this one counts and has heard of none.
+    fn prove_contact(&mut self) {
+        let now_ms = self.passed_ms;
+        if self.counts.is_empty() || now_ms < self.contact_ms + PROVE_CONTACT_MS {
+            return;
+        }
+        let others = self.vms.addresses.keys();
+        let others = others.filter(|vm| **vm != self.options.vm);
+        let chosen = others.cloned().choose_multiple(&mut rand::rng(), CONTACTS);
+        for vm in chosen {
+            let take = Take {
+                account: CONTACT_ACCOUNT.into(),
+                tokens: 0,
+                limit: RateLimit::default(),
+                rank: 0,
+            };
+            self.send_question(Inquiry::Contact, vm, take);
+        }
+    }
+
     fn handle(&mut self, message: MeterMessage) {
         match message {
             MeterMessage::Admit {
@@ -259,8 +307,12 @@
                 }
             }
             MeterMessage::Take { take, reply } => {
-                self.contact_ms = self.passed_ms;
-                self.inquire(Inquiry::Passed { take, reply });
+                self.note_contact();
+                match take.tokens {
+                    // The other VM proves contact, and may have gone.
+                    0 => drop(reply.send(Grant::default())),
+                    _ => self.inquire(Inquiry::Passed { take, reply }),
+                }
             }
             MeterMessage::Answered {
                 inquiry,
@@ -362,16 +414,17 @@
                 }
                 None => return,
             },
+            Inquiry::Contact => return,
         };
         let ranking = self.ranking(&take.account);
-        let failed = |vm: &Name| {
-            let until_ms = self.failed_until_ms.get(vm).copied().unwrap_or(0);
-            now_ms < until_ms || !self.vms.addresses.contains_key(vm)
+        let state = |vm: &Name| {
+            let health = self.health.get(vm).copied().unwrap_or_default();
+            health.state(now_ms)
         };
         let is_alone = self.vms.places.len() <= 1;
         let has_contact = is_alone || now_ms < self.contact_ms + CONTACT_MS;
         let own = (&self.options.vm, has_contact);
-        match choose_counter(&ranking, own, asked_rank, failed) {
+        match choose_counter(&ranking, own, asked_rank, state) {
             Counter::Own => {
                 let is_first = ranking.first() == Some(&self.options.vm);
                 let grant = self.take_own(&take, is_first);
@@ -381,7 +434,7 @@
                 let take = Take { rank, ..take };
                 self.send_question(inquiry, vm, take);
             }
-            Counter::None => self.pass_cut_off(inquiry),
+            Counter::None => self.answer_without_counter(inquiry),
         }
     }
 
@@ -444,11 +497,12 @@
         let now_ms = clock::boot_ms();
         let Some(grant) = grant else {
             decision!("account", vm = &**vm; "a counter does not answer");
-            self.failed_until_ms.insert(vm.clone(), now_ms + FAILED_MS);
+            let health = self.health.entry(vm.clone()).or_default();
+            health.record_failure(asked_ms, now_ms);
             return self.inquire(inquiry);
         };
-        self.failed_until_ms.remove(vm);
-        self.contact_ms = now_ms;
+        self.health.remove(vm);
+        self.note_contact();
         if let Inquiry::Passed { take, .. } = &inquiry {
             // This VM no longer counts for the account.
             self.counts.remove(&take.account);
@@ -463,6 +517,7 @@
                 let _ = reply.send(grant);
                 return;
             }
+            Inquiry::Contact => return,
             Inquiry::Own { account } => account,
         };
         let now_ms = clock::boot_ms();
@@ -494,9 +549,18 @@
     }
 
     /// Lets few operations pass while no counter answers.
-    fn pass_cut_off(&mut self, inquiry: Inquiry) {
-        let Inquiry::Own { account } = inquiry else {
-            return;
+    fn answer_without_counter(&mut self, inquiry: Inquiry) {
+        let account = match inquiry {
+            Inquiry::Own { account } => account,
+            Inquiry::Contact => return,
+            // The first counter may be back in a moment.
+            Inquiry::Passed { reply, .. } => {
+                let _ = reply.send(Grant {
+                    tokens: 0,
+                    retry_after_ms: UNDECIDED_MS,
+                });
+                return;
+            }
         };
         let now_ms = clock::boot_ms();
         let knows_vms = !self.vms.places.is_empty();
@@ -551,12 +615,13 @@
             self.refuse(&account, "no_counter", WAIT_MS, waiting.reply);
         }
         self.ask_for_waiting();
+        self.prove_contact();
         self.accounts.retain(|_, state| {
             state.is_asking || !state.waiting.is_empty() || state.credit.idle_ms(now_ms) < IDLE_MS
         });
         self.counts
             .retain(|_, count| count.idle_ms(now_ms) < IDLE_MS);
-        self.failed_until_ms
-            .retain(|_, until_ms| now_ms < *until_ms);
+        let places = &self.vms.places;
+        self.health.retain(|vm, _| places.contains_key(vm));
     }
 }
--- a/tests/decide_accounts.rs
+++ b/tests/decide_accounts.rs
@@ -7,7 +7,7 @@
     decide::load::{
         account::{Account, AccountKey, Accounts, RateLimit},
         allotment::{Credit, Grant, REFUSE_MAX_MS, TOKEN_LIFETIME_MS, WindowCount},
-        counters::{Counter, choose_counter, counters},
+        counters::{Counter, PeerHealth, PeerState, choose_counter, counters},
         holders::VmPlace,
     },
     prelude::Name,
@@ -303,12 +303,43 @@
 )]
 fn who_counts(own: &str, asked_rank: Option<usize>, failed: &[&str], expected: Counter) {
     let ranking: Vec<Name> = ["a", "b", "c"].map(Name::from).to_vec();
-    let has_failed = |vm: &Name| failed.contains(&&**vm);
+    let state = |vm: &Name| {
+        let late = format!("late {vm}");
+        match (failed.contains(&&**vm), failed.contains(&late.as_str())) {
+            (true, _) => PeerState::Absent,
+            (_, true) => PeerState::Failed,
+            _ => PeerState::Answers,
+        }
+    };
     let (name, has_contact) = match own.strip_prefix("cut ") {
         Some(name) => (name, false),
         None => (own, true),
     };
     let own = (&Name::from(name), has_contact);
-    let chosen = choose_counter(&ranking, own, asked_rank, has_failed);
+    let chosen = choose_counter(&ranking, own, asked_rank, state);
     assert_eq!(chosen, expected);
 }
+
+/// One answer that is late must not make another VM count; silence must.
+#[test]
+fn silence_makes_a_vm_absent() {
+    let mut health = PeerHealth::default();
+    assert_eq!(health.state(10_000), PeerState::Answers);
+    health.record_failure(10_000, 10_150);
+    assert_eq!(health.state(10_200), PeerState::Failed);
+    assert_eq!(
+        health.state(10_400),
+        PeerState::Answers,
+        "it is tried again"
+    );
+    health.record_failure(10_400, 10_550);
+    assert_eq!(health.state(10_550), PeerState::Absent);
+    assert_eq!(
+        health.state(11_600),
+        PeerState::Answers,
+        "it is tried again"
+    );
+    health.record_answer();
+    health.record_failure(11_600, 11_750);
+    assert_eq!(health.state(11_800), PeerState::Failed);
+}
