--- a/src/relay/accounts/meter.rs
+++ b/src/relay/accounts/meter.rs
@@ -1,19 +1,21 @@
 //! The task that meters the operations of accounts on one VM. It also counts for
 //! other VMs, where this VM is the counter of an account.
 
+mod contact;
+
 use std::{collections::VecDeque, net::SocketAddr, rc::Rc};
 
 use futures::channel::oneshot;
-use rand::seq::IteratorRandom;
 
 use super::{
     Take,
     client::{self, Question},
+    message::{Inquiry, MeterMessage},
 };
 use crate::{
     clock,
     decide::load::{
-        account::{Account, RateLimit},
+        account::RateLimit,
         allotment::{Credit, Grant, WindowCount},
         counters::{
             CONTACT_MS, Counter, FAILED_MS, PROVE_CONTACT_MS, PeerHealth, choose_counter, counters,
@@ -28,8 +30,6 @@
 /// Longest time between two passes of the task. A longer one shows that the process
 /// was suspended.
 const TICK: Duration = Duration::from_millis(250);
-/// Time between two passes after which the process counts as suspended, in milliseconds.
-const SUSPENDED_MS: u64 = 1_500;
 /// Longest wait for the answer of a counter, in milliseconds: a round trip to another
 /// region, a new connection, and a counter that is busy.
 const ANSWER_MS: u64 = 150;
@@ -37,7 +37,7 @@
 const ANSWER_PER_RANK_MS: u64 = 200;
 /// Longest time for which an operation waits for a token, in milliseconds: a counter
 /// that does not answer, and its first deputy.
-const WAIT_MS: u64 = 600;
+pub const WAIT_MS: u64 = 600;
 /// Time after which a VM should ask again while it is not clear who counts, in
 /// milliseconds.
 const UNDECIDED_MS: u64 = 200;
@@ -46,114 +46,10 @@
 /// Time after its start of which a counter does not know what was granted, in
 /// milliseconds: other VMs may still ask the deputy that granted in its absence.
 const OVERLAP_MS: u64 = FAILED_MS;
-/// Number of VMs that are asked at once to prove contact: some of those that are listed may
-/// have ended.
-const CONTACTS: usize = 2;
-/// Account that such a question names.
-const CONTACT_ACCOUNT: &str = "-";
 /// Time after which the state of an unused account is dropped, in milliseconds. A
 /// window is over by then.
 const IDLE_MS: u64 = 60_000;
 
-/// A message to the task.
-enum MeterMessage {
-    /// A caller wants to run an operation.
-    Admit {
-        account: Name,
-        limit: RateLimit,
-        reply: oneshot::Sender<Result<(), u64>>,
-    },
-    /// An operation that was admitted was not sent to any member.
-    GiveBack { account: Name },
-    /// Another VM asks for tokens.
-    Take {
-        take: Take,
-        reply: oneshot::Sender<Grant>,
-    },
-    /// Another VM has answered, or not.
-    Answered {
-        inquiry: Inquiry,
-        vm: Name,
-        asked_ms: u64,
-        grant: Option<Grant>,
-    },
-    /// The active VMs.
-    Vms(Rc<Vms>),
-}
-
-/// Why another VM is asked for tokens.
-enum Inquiry {
-    /// Operations of this VM's callers need them.
-    Own { account: Name },
-    /// To prove contact.
-    Contact,
-    /// A VM that does not reach it asked this VM instead.
-    Passed {
-        take: Take,
-        reply: oneshot::Sender<Grant>,
-    },
-}
-
-/// Meters the operations of accounts.
-#[derive(Clone)]
-pub struct AccountMeter {
-    mailbox: flume::Sender<MeterMessage>,
-}
-
-impl AccountMeter {
-    /// Starts the task.
-    pub fn start(options: Rc<RelayOptions>, metrics: Metrics) -> AccountMeter {
-        let (mailbox, messages) = flume::unbounded();
-        let meter = Meter::new(options, metrics, mailbox.clone());
-        compio::runtime::spawn(meter.run(messages)).detach();
-        AccountMeter { mailbox }
-    }
-
-    /// Waits until the account may run an operation.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time after which the caller should try again, in milliseconds, when
-    /// the account is over its limit or too few VMs answer to tell.
-    pub async fn admit(&self, account: &Account) -> Result<(), u64> {
-        let Some(limit) = account.limit else {
-            return Ok(());
-        };
-        let (reply, admitted) = oneshot::channel();
-        self.send(MeterMessage::Admit {
-            account: account.name.clone(),
-            limit,
-            reply,
-        });
-        admitted.await.unwrap_or(Err(WAIT_MS))
-    }
-
-    /// Gives back the token of an operation that was not sent to any member.
-    pub fn give_back(&self, account: &Account) {
-        if account.limit.is_some() {
-            let account = account.name.clone();
-            self.send(MeterMessage::GiveBack { account });
-        }
-    }
-
-    /// Grants tokens to another VM; `None` while this VM can't tell.
-    pub async fn take(&self, take: Take) -> Option<Grant> {
-        let (reply, granted) = oneshot::channel();
-        self.send(MeterMessage::Take { take, reply });
-        granted.await.ok()
-    }
-
-    /// Replaces the active VMs.
-    pub fn update_vms(&self, vms: Rc<Vms>) {
-        self.send(MeterMessage::Vms(vms));
-    }
-
-    fn send(&self, message: MeterMessage) {
-        // The task ends only with the process.
-        let _ = self.mailbox.send(message);
-    }
-}
-
 /// An operation that waits for a token.
 struct Waiting {
     since_ms: u64,
@@ -175,7 +71,8 @@
     questions: flume::Sender<Question>,
 }
 
-struct Meter {
+/// State of the task.
+pub struct Meter {
     options: Rc<RelayOptions>,
     metrics: Metrics,
     mailbox: flume::Sender<MeterMessage>,
@@ -202,7 +99,8 @@
 }
 
 impl Meter {
-    fn new(
+    /// Creates the state. `mailbox` takes messages to the task itself.
+    pub fn new(
         options: Rc<RelayOptions>,
         metrics: Metrics,
         mailbox: flume::Sender<MeterMessage>,
@@ -227,7 +125,8 @@
         }
     }
 
-    async fn run(mut self, messages: flume::Receiver<MeterMessage>) {
+    /// Handles messages. Ends only with the process.
+    pub async fn run(mut self, messages: flume::Receiver<MeterMessage>) {
         loop {
             let received = compio::time::timeout(TICK, messages.recv_async()).await;
             self.note_time();
@@ -243,57 +142,6 @@
         }
     }
 
-    /// Starts to count anew after a suspension.
-    fn note_time(&mut self) {
-        let now_ms = clock::boot_ms();
-        let pause_ms = now_ms.saturating_sub(self.passed_ms);
-        self.passed_ms = now_ms;
-        if pause_ms < SUSPENDED_MS {
-            return;
-        }
-        self.count_anew(pause_ms);
-    }
-
-    /// Takes the last window for granted: a deputy has counted meanwhile.
-    fn count_anew(&mut self, pause_ms: u64) {
-        let now_ms = self.passed_ms;
-        decision!("account", pause_ms = pause_ms, accounts = self.counts.len(); "counting anew");
-        self.counting_since_ms = now_ms;
-        self.is_first_start = false;
-        for count in self.counts.values_mut() {
-            count.assume_granted(0, now_ms);
-        }
-    }
-
-    /// Records a message from another VM.
-    fn note_contact(&mut self) {
-        let pause_ms = self.passed_ms.saturating_sub(self.contact_ms);
-        if pause_ms >= CONTACT_MS && !self.counts.is_empty() {
-            self.count_anew(pause_ms);
-        }
-        self.contact_ms = self.passed_ms;
-    }
-
-    /// Asks some VM to prove contact, where this one counts and has heard of none.
-    fn prove_contact(&mut self) {
-        let now_ms = self.passed_ms;
-        if self.counts.is_empty() || now_ms < self.contact_ms + PROVE_CONTACT_MS {
-            return;
-        }
-        let others = self.vms.addresses.keys();
-        let others = others.filter(|vm| **vm != self.options.vm);
-        let chosen = others.cloned().choose_multiple(&mut rand::rng(), CONTACTS);
-        for vm in chosen {
-            let take = Take {
-                account: CONTACT_ACCOUNT.into(),
-                tokens: 0,
-                limit: RateLimit::default(),
-                rank: 0,
-            };
-            self.send_question(Inquiry::Contact, vm, take);
-        }
-    }
-
     fn handle(&mut self, message: MeterMessage) {
         match message {
             MeterMessage::Admit {
--- a/src/relay/accounts/mod.rs
+++ b/src/relay/accounts/mod.rs
@@ -4,8 +4,10 @@
 //! The meter of each VM buys tokens there and spends one for each operation.
 
 mod client;
+mod handle;
+mod message;
 mod meter;
 mod take;
 
-pub use meter::AccountMeter;
+pub use handle::AccountMeter;
 pub use take::Take;
