--- a/src/relay/accounts/meter.rs
+++ b/src/relay/accounts/meter.rs
@@ -30,9 +30,9 @@
 /// Longest time between two passes of the task. A longer one shows that the process
 /// was suspended.
 const TICK: Duration = Duration::from_millis(250);
-/// Longest wait for the answer of a counter, in milliseconds: a round trip to another
-/// region, a new connection, and a counter that is busy.
-const ANSWER_MS: u64 = 150;
+/// Longest wait for the answer of a counter, in milliseconds: two round trips to another
+/// region, and VMs that get no processor time for a tenth of a second.
+const ANSWER_MS: u64 = 300;
 /// Added for each VM that the asked one may have to ask itself, in milliseconds.
 const ANSWER_PER_RANK_MS: u64 = 200;
 /// Longest time for which an operation waits for a token, in milliseconds: a counter
@@ -65,6 +65,9 @@
     is_asking: bool,
 }
 
+/// Whether a question goes to the first counter of its account.
+type IsFirst = bool;
+
 /// Connection to another VM.
 struct Peer {
     address: SocketAddr,
@@ -82,7 +85,9 @@
     /// Counters of accounts, best first, for the present list of VMs.
     rankings: BTreeMap<Name, Rc<Vec<Name>>>,
     vms: Rc<Vms>,
-    peers: BTreeMap<Name, Peer>,
+    /// Connections, for questions to a first counter and for others apart: a deputy may have
+    /// to ask others before it answers, and must not hold up those questions.
+    peers: BTreeMap<(Name, IsFirst), Peer>,
     /// Whether the VMs answer that were asked; missing if they always did.
     health: BTreeMap<Name, PeerHealth>,
     /// Time since which this VM has counted without a break, in milliseconds.
@@ -171,7 +176,7 @@
             MeterMessage::Vms(vms) => {
                 self.rankings.clear();
                 self.peers
-                    .retain(|vm, peer| vms.addresses.get(vm) == Some(&peer.address));
+                    .retain(|(vm, _), peer| vms.addresses.get(vm) == Some(&peer.address));
                 self.vms = vms;
                 self.ask_for_waiting();
             }
@@ -316,11 +321,14 @@
             return;
         };
         let codec = self.options.codecs.forward;
-        let peer = self.peers.entry(vm.clone()).or_insert_with(|| {
-            let (questions, asked) = flume::unbounded();
-            compio::runtime::spawn(client::run(address, Rc::new(codec), asked)).detach();
-            Peer { address, questions }
-        });
+        let peer = self
+            .peers
+            .entry((vm.clone(), take.rank == 0))
+            .or_insert_with(|| {
+                let (questions, asked) = flume::unbounded();
+                compio::runtime::spawn(client::run(address, Rc::new(codec), asked)).detach();
+                Peer { address, questions }
+            });
         let (reply, granted) = oneshot::channel();
         let limit_ms = ANSWER_MS + ANSWER_PER_RANK_MS * take.rank as u64;
         // Fails only if the task of the connection has ended; the answer is then missing.
@@ -344,7 +352,7 @@
     fn answered(&mut self, inquiry: Inquiry, vm: &Name, asked_ms: u64, grant: Option<Grant>) {
         let now_ms = clock::boot_ms();
         let Some(grant) = grant else {
-            decision!("account", vm = &**vm; "a counter does not answer");
+            decision!("account", peer = &**vm; "a counter does not answer");
             let health = self.health.entry(vm.clone()).or_default();
             health.record_failure(asked_ms, now_ms);
             return self.inquire(inquiry);
