--- a/src/decide/load/account.rs
+++ b/src/decide/load/account.rs
@@ -2,6 +2,9 @@
 
 use crate::prelude::*;
 
+/// Part of a limit that a deputy grants while the first counter is absent.
+const DEPUTY_SHARE: f64 = 0.5;
+
 /// Key by which a caller proves to belong to an account. It is never logged.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, derive_more::From)]
 pub struct AccountKey(Name);
@@ -23,6 +26,18 @@
     pub burst: f64,
 }
 
+impl RateLimit {
+    /// The part of the limit that a deputy grants: the first counter may still reach some
+    /// VMs, and accounts usually need about this much.
+    pub fn for_deputy(self) -> RateLimit {
+        RateLimit {
+            rate_per_s: self.rate_per_s * DEPUTY_SHARE,
+            burst: self.burst * DEPUTY_SHARE,
+            ..self
+        }
+    }
+}
+
 /// A client account.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Account {
--- a/src/relay/accounts/meter.rs
+++ b/src/relay/accounts/meter.rs
@@ -299,12 +299,16 @@
             // The first counter may have granted all until just now.
             (false, _) => 0,
         };
+        let limit = match is_first {
+            true => take.limit,
+            false => take.limit.for_deputy(),
+        };
         let window_ms = self.options.limit_window_ms;
         let count = self
             .counts
             .entry(take.account.clone())
-            .or_insert_with(|| WindowCount::new(take.limit, window_ms, counted_ms, now_ms));
-        let grant = count.take(take.tokens, take.limit, now_ms);
+            .or_insert_with(|| WindowCount::new(limit, window_ms, counted_ms, now_ms));
+        let grant = count.take(take.tokens, limit, now_ms);
         if grant.tokens < take.tokens {
             decision!(
                 "account", account = &*take.account, wanted = take.tokens, granted = grant.tokens,
--- a/tests/account_orderings.rs
+++ b/tests/account_orderings.rs
@@ -179,10 +179,14 @@
                     Planted::CountLostAtRestart => u64::MAX,
                     _ => counted_ms,
                 };
+                let limit = match vm {
+                    0 => LIMIT,
+                    _ => LIMIT.for_deputy(),
+                };
                 let count = self.vms[vm]
                     .count
-                    .get_or_insert_with(|| WindowCount::new(LIMIT, WINDOW_MS, counted_ms, now_ms));
-                let grant = count.take(tokens, LIMIT, now_ms);
+                    .get_or_insert_with(|| WindowCount::new(limit, WINDOW_MS, counted_ms, now_ms));
+                let grant = count.take(tokens, limit, now_ms);
                 self.answered(vm, cause, now_ms, grant);
             }
             Counter::Other { vm: other, rank } => {
