--- a/src/decide/load/allotment.rs
+++ b/src/decide/load/allotment.rs
@@ -12,8 +12,8 @@
 /// Resolution of the count, in milliseconds.
 const SLOT_MS: u64 = 100;
 /// Time from a grant until its operation arrives at a member, in milliseconds: two VMs on
-/// the way, in other regions. Operations that take longer are few in a window.
-const ON_THE_WAY_MS: u64 = 250;
+/// the way, in other regions, and the usual wait for a connection under load.
+const ON_THE_WAY_MS: u64 = 600;
 /// Time over which a burst is paced, in milliseconds.
 const PACE_MS: u64 = 1_000;
 /// Part of a window's tokens that may be granted in that time: the even share, since a
@@ -195,8 +195,9 @@
     seen_ms: u64,
     /// Time until which the account is known to be over its limit, in milliseconds.
     refused_until_ms: u64,
-    /// Time from which one operation may pass without a counter, in milliseconds.
-    next_free_ms: u64,
+    /// Time from which one operation may pass without a counter, in milliseconds; `None`
+    /// before the first one.
+    next_free_ms: Option<u64>,
 }
 
 impl Credit {
@@ -270,12 +271,14 @@
         (window_ms, vms): (u64, usize),
         now_ms: u64,
     ) -> Result<(), u64> {
-        if now_ms < self.next_free_ms {
-            return Err(self.next_free_ms - now_ms);
-        }
         let shared = f64::from(window_max(limit, window_ms)) * CUT_OFF_SHARE + CUT_OFF_OPERATIONS;
-        let interval_ms = window_ms as f64 * vms.max(1) as f64 / shared;
-        self.next_free_ms = now_ms + interval_ms as u64;
+        let interval_ms = (window_ms as f64 * vms.max(1) as f64 / shared) as u64;
+        // Not even the first one passes at once: all VMs may be cut off together.
+        let next_free_ms = *self.next_free_ms.get_or_insert(now_ms + interval_ms);
+        if now_ms < next_free_ms {
+            return Err(next_free_ms - now_ms);
+        }
+        self.next_free_ms = Some(now_ms + interval_ms);
         Ok(())
     }
 
--- a/tests/decide_accounts.rs
+++ b/tests/decide_accounts.rs
@@ -247,9 +247,8 @@
             .filter(|at| credit.pass_cut_off(limit, scope, *at).is_ok())
             .count();
     }
-    // Each VM lets its first operation pass at once.
     let tolerated = 4.0 * (6.0 * rate_per_s * 0.1 + 20.0);
-    assert!(passed as f64 <= vms as f64 + tolerated, "{passed}");
+    assert!(passed as f64 <= tolerated, "{passed}");
 }
 
 fn vms(weights: &[(&str, f64)]) -> BTreeMap<Name, VmPlace> {
