--- a/src/relay/accounts/meter.rs
+++ b/src/relay/accounts/meter.rs
@@ -27,8 +27,7 @@
     relay::{RelayOptions, Vms},
 };
 
-/// Longest time between two passes of the task. A longer one shows that the process
-/// was suspended.
+/// Longest time between two passes of the task.
 const TICK: Duration = Duration::from_millis(250);
 /// Longest wait for the answer of a counter, in milliseconds: two round trips to another
 /// region, and VMs that get no processor time for a tenth of a second.
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -104,8 +104,9 @@
         match self.shared.meter.admit(limited).await {
             Ok(()) => Ok(account),
             Err(retry_after_ms) => {
-                let text =
-                    format!("the account is over its limit; retry after {retry_after_ms} ms");
+                let text = format!(
+                    "the account may run no operation now; retry after {retry_after_ms} ms"
+                );
                 Err(Reply::Error(ErrorClass::Busy, text))
             }
         }
