--- a/src/decide/load/allotment.rs
+++ b/src/decide/load/allotment.rs
@@ -25,6 +25,10 @@
 /// Time for which a granted token may be spent, in milliseconds. A VM that wakes after
 /// a suspension must not spend what others have been granted since.
 pub const TOKEN_LIFETIME_MS: u64 = 1_000;
+/// Shortest time for which a VM refuses operations without asking again, in milliseconds.
+/// Tokens become free one by one, and all VMs ask for them: 139 VMs that asked every 50 ms
+/// kept the counter too busy to answer in time.
+pub const REFUSE_MIN_MS: u64 = 200;
 /// Longest time for which a VM refuses operations without asking again, in milliseconds.
 pub const REFUSE_MAX_MS: u64 = 500;
 /// Part of a second for which a VM asks ahead: several round trips between regions.
@@ -258,7 +262,8 @@
             });
         }
         if grant.retry_after_ms > 0 {
-            self.refused_until_ms = now_ms + grant.retry_after_ms.min(REFUSE_MAX_MS);
+            let pause_ms = grant.retry_after_ms.clamp(REFUSE_MIN_MS, REFUSE_MAX_MS);
+            self.refused_until_ms = now_ms + pause_ms;
         }
     }
 
--- a/tests/decide_accounts.rs
+++ b/tests/decide_accounts.rs
@@ -6,7 +6,7 @@
 use foxtailknot::{
     decide::load::{
         account::{Account, AccountKey, Accounts, RateLimit},
-        allotment::{Credit, Grant, REFUSE_MAX_MS, TOKEN_LIFETIME_MS, WindowCount},
+        allotment::{Credit, Grant, REFUSE_MAX_MS, REFUSE_MIN_MS, TOKEN_LIFETIME_MS, WindowCount},
         counters::{Counter, PeerHealth, PeerState, choose_counter, counters},
         holders::VmPlace,
     },
@@ -216,6 +216,14 @@
     assert_eq!(credit.refusal_ms(1_050 + REFUSE_MAX_MS), None);
 }
 
+/// Many VMs that ask again as soon as one token is free would overload the counter.
+#[test]
+fn refused_vm_does_not_ask_again_at_once() {
+    let mut credit = Credit::default();
+    credit.add(grant(3, 7), 1_000, 1_050);
+    assert_eq!(credit.refusal_ms(1_050), Some(REFUSE_MIN_MS));
+}
+
 /// A busy VM asks ahead; a quiet one asks for each operation, so that tokens don't
 /// expire unused.
 #[parameterized(
