--- a/src/decide/load/account.rs
+++ b/src/decide/load/account.rs
@@ -5,6 +5,11 @@
 /// Part of a limit that a deputy grants while the first counter is absent.
 const DEPUTY_SHARE: f64 = 0.5;
 
+/// The same where less than half of the VMs ask it, and operations in a window that it
+/// grants in any case. Customers tolerate a tenth and 20 operations.
+const MINORITY_SHARE: f64 = 0.025;
+const MINORITY_OPERATIONS: f64 = 10.0;
+
 /// Key by which a caller proves to belong to an account. It is never logged.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, derive_more::From)]
 pub struct AccountKey(Name);
@@ -28,11 +33,17 @@
 
 impl RateLimit {
     /// The part of the limit that a deputy grants: the first counter may still reach some
-    /// VMs, and accounts usually need about this much.
-    pub fn for_deputy(self) -> RateLimit {
+    /// VMs, and accounts usually need about this much. Where less than half of the VMs ask
+    /// the deputy, they may be the smaller side of a partition, and stay within the
+    /// tolerance.
+    pub fn for_deputy(self, asking: usize, vms: usize) -> RateLimit {
+        let (share, operations) = match asking * 2 >= vms {
+            true => (DEPUTY_SHARE, 0.0),
+            false => (MINORITY_SHARE, MINORITY_OPERATIONS),
+        };
         RateLimit {
-            rate_per_s: self.rate_per_s * DEPUTY_SHARE,
-            burst: self.burst * DEPUTY_SHARE,
+            rate_per_s: self.rate_per_s * share,
+            burst: self.burst * share + operations,
             ..self
         }
     }
--- a/src/decide/load/allotment.rs
+++ b/src/decide/load/allotment.rs
@@ -87,10 +87,10 @@
         count
     }
 
-    /// Grants up to `wanted` tokens. A limit of a newer configuration replaces the
-    /// known one.
+    /// Grants up to `wanted` tokens. A limit replaces the known one unless it is of an older
+    /// configuration.
     pub fn take(&mut self, wanted: u32, limit: RateLimit, now_ms: u64) -> Grant {
-        if limit.version > self.limit.version {
+        if limit.version >= self.limit.version {
             self.limit = limit;
         }
         self.used_ms = now_ms;
--- a/src/relay/accounts/meter.rs
+++ b/src/relay/accounts/meter.rs
@@ -45,6 +45,9 @@
 /// Time after its start of which a counter does not know what was granted, in
 /// milliseconds: other VMs may still ask the deputy that granted in its absence.
 const OVERLAP_MS: u64 = FAILED_MS;
+/// Time for which a VM counts as asking a deputy, in milliseconds: several questions of a
+/// VM whose account is busy.
+const ASKING_MS: u64 = 3_000;
 /// Time after which the state of an unused account is dropped, in milliseconds. A
 /// window is over by then.
 const IDLE_MS: u64 = 60_000;
@@ -81,6 +84,8 @@
     accounts: BTreeMap<Name, AccountState>,
     /// Counts of the accounts that this VM counts for.
     counts: BTreeMap<Name, WindowCount>,
+    /// VMs that asked this one as a deputy of an account, and when last, in milliseconds.
+    asking: BTreeMap<Name, BTreeMap<Name, u64>>,
     /// Counters of accounts, best first, for the present list of VMs.
     rankings: BTreeMap<Name, Rc<Vec<Name>>>,
     vms: Rc<Vms>,
@@ -117,6 +122,7 @@
             mailbox,
             accounts: BTreeMap::new(),
             counts: BTreeMap::new(),
+            asking: BTreeMap::new(),
             rankings: BTreeMap::new(),
             vms: Rc::default(),
             peers: BTreeMap::new(),
@@ -257,6 +263,7 @@
             Inquiry::Own { account } => match self.accounts.get(account) {
                 Some(state) => {
                     let take = Take {
+                        from: self.options.vm.clone(),
                         account: account.clone(),
                         tokens: state.credit.wanted(state.waiting.len()),
                         limit: state.limit,
@@ -283,7 +290,8 @@
                 self.apply(inquiry, now_ms, grant);
             }
             Counter::Other { vm, rank } => {
-                let take = Take { rank, ..take };
+                let from = self.options.vm.clone();
+                let take = Take { from, rank, ..take };
                 self.send_question(inquiry, vm, take);
             }
             Counter::None => self.answer_without_counter(inquiry),
@@ -300,7 +308,11 @@
         };
         let limit = match is_first {
             true => take.limit,
-            false => take.limit.for_deputy(),
+            false => {
+                let asking = self.asking.entry(take.account.clone()).or_default();
+                asking.insert(take.from.clone(), now_ms);
+                take.limit.for_deputy(asking.len(), self.vms.places.len())
+            }
         };
         let window_ms = self.options.limit_window_ms;
         let count = self
@@ -480,6 +492,10 @@
         });
         self.counts
             .retain(|_, count| count.idle_ms(now_ms) < IDLE_MS);
+        for vms in self.asking.values_mut() {
+            vms.retain(|_, asked_ms| now_ms < *asked_ms + ASKING_MS);
+        }
+        self.asking.retain(|_, vms| !vms.is_empty());
         let places = &self.vms.places;
         self.health.retain(|vm, _| places.contains_key(vm));
     }
--- a/src/relay/accounts/meter/contact.rs
+++ b/src/relay/accounts/meter/contact.rs
@@ -55,6 +55,7 @@
         let chosen = others.cloned().choose_multiple(&mut rand::rng(), CONTACTS);
         for vm in chosen {
             let take = Take {
+                from: self.options.vm.clone(),
                 account: CONTACT_ACCOUNT.into(),
                 tokens: 0,
                 limit: RateLimit::default(),
--- a/src/relay/accounts/take.rs
+++ b/src/relay/accounts/take.rs
@@ -5,6 +5,8 @@
 /// A request for tokens, from one VM to another.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Take {
+    /// Name of the asking VM.
+    pub from: Name,
     /// Name of the account.
     pub account: Name,
     /// Tokens asked for.
--- a/tests/account_orderings.rs
+++ b/tests/account_orderings.rs
@@ -33,6 +33,7 @@
 const CALM_PER_S: f64 = 60.0;
 /// Longest wait for an answer, and what is added for each rank, in milliseconds.
 const ANSWER_MS: (u64, u64) = (300, 200);
+const ASKING_MS: u64 = 3_000;
 const SUSPENDED_MS: u64 = 1_500;
 const SEEDS: u64 = 300;
 
@@ -83,14 +84,18 @@
     count: Option<WindowCount>,
     health: BTreeMap<usize, PeerHealth>,
     asked: BTreeMap<u64, Asked>,
+    /// VMs that asked it, and when last.
+    asking: BTreeMap<usize, u64>,
     waiting: usize,
     counting_since_ms: u64,
     contact_ms: u64,
     passed_ms: u64,
     /// Until when it does nothing; its messages wait.
     suspended_until_ms: u64,
-    /// Until when it reaches no other VM.
+    /// Until when it reaches no VM of another side.
     cut_until_ms: u64,
+    /// Side of a cut; VMs of the same side reach each other.
+    side: usize,
 }
 
 impl Vm {
@@ -100,12 +105,14 @@
             count: None,
             health: BTreeMap::new(),
             asked: BTreeMap::new(),
+            asking: BTreeMap::new(),
             waiting: 0,
             counting_since_ms,
             contact_ms: now_ms,
             passed_ms: now_ms,
             suspended_until_ms: 0,
             cut_until_ms: 0,
+            side: 0,
         }
     }
 }
@@ -179,9 +186,16 @@
                     Planted::CountLostAtRestart => u64::MAX,
                     _ => counted_ms,
                 };
+                let asking_vm = match &cause {
+                    Cause::Own => vm,
+                    Cause::Passed { from, .. } => *from,
+                };
+                let asking = &mut self.vms[vm].asking;
+                asking.insert(asking_vm, now_ms);
+                asking.retain(|_, asked_ms| now_ms < *asked_ms + ASKING_MS);
                 let limit = match vm {
                     0 => LIMIT,
-                    _ => LIMIT.for_deputy(),
+                    _ => LIMIT.for_deputy(asking.len(), VMS),
                 };
                 let count = self.vms[vm]
                     .count
@@ -255,7 +269,8 @@
         let due = std::mem::replace(&mut self.messages, later);
         for ((_, sequence), (from, to, message)) in due {
             let is_cut = |vm: &Vm| self.now_ms < vm.cut_until_ms;
-            if is_cut(&self.vms[from]) || is_cut(&self.vms[to]) {
+            let is_apart = self.vms[from].side != self.vms[to].side;
+            if is_apart && (is_cut(&self.vms[from]) || is_cut(&self.vms[to])) {
                 continue;
             }
             if self.now_ms < self.vms[to].suspended_until_ms {
@@ -399,14 +414,25 @@
         };
         let span_ms = self.rng.random_range(200..5_000);
         let until_ms = self.now_ms + span_ms;
-        match self.rng.random_range(0..4) {
+        match self.rng.random_range(0..5) {
             0 => self.vms[vm] = Vm::new(self.now_ms, self.now_ms),
             1 => self.vms[vm].suspended_until_ms = until_ms,
-            2 => self.vms[vm].cut_until_ms = until_ms,
+            2 => {
+                self.vms[vm].cut_until_ms = until_ms;
+                self.vms[vm].side = VMS + vm;
+            }
             // A third of the VMs are cut off, each from all others.
+            3 => {
+                for vm in (0..VMS).step_by(3) {
+                    self.vms[vm].cut_until_ms = until_ms;
+                    self.vms[vm].side = VMS + vm;
+                }
+            }
+            // A third of the VMs, a deputy among them, are cut off together.
             _ => {
-                for vm in 0..VMS / 3 {
-                    self.vms[(vm * 3) % VMS].cut_until_ms = until_ms;
+                for vm in (1..VMS).step_by(3) {
+                    self.vms[vm].cut_until_ms = until_ms;
+                    self.vms[vm].side = 1;
                 }
             }
         }
