Log what a VM knows of the configuration when it refuses a database or key

Cause: a refused request did not show the version in force, since when, and how old the knowledge was, and no line told when a VM reads the store and at which interval. An old version, none at all and false news looked alike.

Result: no decision is changed.

--- a/src/decide/news_sources.rs
+++ b/src/decide/news_sources.rs
@@ -46,7 +46,13 @@
 const VMS_WAIT_MS: u64 = 6_000;
 
 /// How a VM uses the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumDiscriminants)]
+#[strum_discriminants(
+    name(StoreUseKind),
+    derive(strum::IntoStaticStr),
+    strum(serialize_all = "snake_case"),
+    doc = "Ways of using the store, without their times."
+)]
 pub enum StoreUse {
     /// It follows the store.
     Follow,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter},
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider, UpDownCounter},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -63,6 +63,10 @@
     pub era_changes: Counter<u64>,
     /// Age of the VM's news by table when more arrives, in milliseconds.
     pub news_age_ms: Histogram<f64>,
+    /// Calls to the store about followed tables, by table, way and outcome.
+    pub store_calls: Counter<u64>,
+    /// Version of the configuration in force.
+    pub config_version: Gauge<u64>,
     /// Callers that were refused because too many are connected.
     pub callers_refused: Counter<u64>,
     /// Operations of client accounts that were refused, by reason.
@@ -112,6 +116,8 @@
             news_answers: counter("foxtailknot_news_answers"),
             era_changes: counter("foxtailknot_era_changes"),
             news_age_ms: meter.f64_histogram("foxtailknot_news_age_ms").build(),
+            store_calls: counter("foxtailknot_store_calls"),
+            config_version: meter.u64_gauge("foxtailknot_config_version").build(),
             callers_refused: counter("foxtailknot_callers_refused"),
             account_refusals: counter("foxtailknot_account_refusals"),
             peer_bytes: counter("foxtailknot_peer_bytes"),
--- a/src/news/copies.rs
+++ b/src/news/copies.rs
@@ -4,6 +4,7 @@
 use crate::{
     clock,
     decide::{
+        news_sources::StoreUseKind,
         revision::Revision,
         table_copy::{StoreAnswer, StoreJudge, TableCopy, TablePage},
     },
@@ -83,6 +84,17 @@
         false
     }
 
+    /// Counts a call to the store about a table.
+    pub(super) fn record_store_call(&self, table: &'static str, way: StoreUseKind, is_done: bool) {
+        let outcome = if is_done { "done" } else { "failed" };
+        let labels = [
+            label("table", table),
+            label("way", way),
+            label("outcome", outcome),
+        ];
+        self.metrics.store_calls.add(1, &labels);
+    }
+
     /// Records that the store does not answer calls about a table.
     pub(super) fn lost_store(&self, table: &str) {
         let now_ms = clock::boot_ms();
--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -7,7 +7,13 @@
 
 use super::{hub::Hub, options::FollowedTable};
 use crate::{
-    decide::{news_sources::StoreUse, retry::Backoff, revision::Revision, table_copy::TablePage},
+    decide::{
+        news_sources::{StoreUse, StoreUseKind},
+        retry::Backoff,
+        revision::Revision,
+        table_copy::TablePage,
+    },
+    decision_log::decision,
     prelude::*,
 };
 
@@ -53,8 +59,10 @@
 pub(super) async fn follow(hub: Rc<Hub>, table: FollowedTable) {
     let mut failures = 0;
     let mut wants_whole = true;
+    let mut way = StoreUseKind::Leave;
     loop {
         let store_use = hub.store_use(&table, failures);
+        log_way(&hub, &table, &mut way, store_use, failures);
         match store_use {
             StoreUse::Leave { for_ms } => {
                 hub.await_vms(for_ms).await;
@@ -73,7 +81,9 @@
             StoreUse::Follow if failures == 0 => table.wait_ms,
             _ => table.wait_ms.and(Some(0)),
         };
-        match step(&hub, table.name, wait_ms, wants_whole).await {
+        let answer = step(&hub, table.name, wait_ms, wants_whole).await;
+        hub.record_store_call(table.name, way, answer.is_ok());
+        match answer {
             Ok((page, asked)) => {
                 let next_ms = match store_use {
                     StoreUse::Follow => table.wait_ms.unwrap_or(table.read_interval_ms),
@@ -114,6 +124,29 @@
     }
 }
 
+/// Logs when a table begins to be read in another way.
+fn log_way(
+    hub: &Hub,
+    table: &FollowedTable,
+    way: &mut StoreUseKind,
+    store_use: StoreUse,
+    failures: u32,
+) {
+    let next = StoreUseKind::from(store_use);
+    if std::mem::replace(way, next) == next {
+        return;
+    }
+    let interval_ms = match store_use {
+        StoreUse::Poll { interval_ms } => interval_ms,
+        _ => 0,
+    };
+    decision!(
+        "news", table = table.name, way = Into::<&'static str>::into(next),
+        age_ms = hub.age_ms(table.name).map_or(-1, |age_ms| age_ms as i64),
+        failures = failures, interval_ms = interval_ms; "way of reading the store changed"
+    );
+}
+
 /// Reads the next changes of a table, or all of it if no wait is given. Returns
 /// also the revision up to which the copy was complete before.
 async fn step(
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -1,6 +1,9 @@
 //! The relay of a VM: its configuration, members, listeners and shutdown.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use compio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -37,6 +40,18 @@
 #[display("no account holds the key")]
 pub struct UnknownKey;
 
+/// What a VM knows of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigKnowledge {
+    /// Version in force; zero if there is none.
+    pub version: u64,
+    /// Time since it is in force, in milliseconds.
+    pub in_force_ms: u64,
+    /// Time since the platform last confirmed that it is the newest, in milliseconds; -1 if
+    /// it never has.
+    pub age_ms: i64,
+}
+
 /// State shared by the tasks of a relay.
 pub struct Shared {
     /// Options and dependencies.
@@ -47,6 +62,8 @@
     pub meter: AccountMeter,
     /// Configuration in force.
     pub config: RefCell<Option<Arc<RelayConfig>>>,
+    /// Time since which it is in force, in milliseconds.
+    config_since_ms: Cell<u64>,
     /// Mailboxes of the services.
     services: RefCell<BTreeMap<Name, flume::Sender<ServiceMessage>>>,
     member_list: RefCell<MemberList>,
@@ -63,6 +80,17 @@
         config.as_ref()?.routes.get(database).cloned()
     }
 
+    /// What decides whether a database or key is known, for log lines.
+    pub fn config_knowledge(&self) -> ConfigKnowledge {
+        let config = self.config.borrow();
+        let in_force_ms = clock::boot_ms().saturating_sub(self.config_since_ms.get());
+        ConfigKnowledge {
+            version: config.as_ref().map_or(0, |config| config.version),
+            in_force_ms: config.as_ref().map_or(0, |_| in_force_ms),
+            age_ms: (self.options.config_age_ms)().map_or(-1, |age_ms| age_ms as i64),
+        }
+    }
+
     /// Client account that holds a key, in the configuration in force. `Ok(None)` where
     /// statements run without one: the configuration has no accounts, or the route
     /// needs no key.
@@ -145,6 +173,7 @@
             options,
             metrics,
             config: RefCell::new(None),
+            config_since_ms: Cell::new(0),
             services: RefCell::new(BTreeMap::new()),
             member_list: RefCell::new(MemberList::default()),
             callers: Rc::default(),
@@ -197,6 +226,9 @@
                 None => self.start_service(service, service_config.clone()),
             }
         }
+        let metrics = &self.shared.metrics;
+        metrics.config_version.record(config.version, &[]);
+        self.shared.config_since_ms.set(clock::boot_ms());
         *self.shared.config.borrow_mut() = Some(Arc::new(config));
         self.update_readiness();
     }
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -73,6 +73,10 @@
     pub is_first_start: bool,
     /// Is told of each floor that this VM raises, so that other VMs can use it.
     pub on_floor: FloorListener,
+    /// Time since the platform last confirmed the configuration, in milliseconds; `None`
+    /// if it never has.
+    #[builder(default = Rc::new(|| None))]
+    pub config_age_ms: Rc<dyn Fn() -> Option<u64>>,
     /// Longest time of a graceful shutdown, in milliseconds.
     pub grace_ms: u64,
     /// Whether to learn from a member's answers how many requests it takes well at once.
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -174,12 +174,8 @@
         reason: &str,
         took_ms: u64,
     ) {
-        let version = self
-            .shared
-            .config
-            .borrow()
-            .as_ref()
-            .map_or(0, |c| c.version);
+        let known = self.shared.config_knowledge();
+        let version = known.version;
         let request = String::from_utf8_lossy(&statement.id);
         if outcome == "done" {
             decision!(
@@ -189,8 +185,9 @@
         } else {
             decision!(
                 "request_failed", request = request, kind = kind, database = &*self.database,
-                version = version, outcome = outcome, reason = reason, took_ms = took_ms;
-                "request failed"
+                version = version, in_force_ms = known.in_force_ms,
+                config_age_ms = known.age_ms, outcome = outcome, reason = reason,
+                took_ms = took_ms; "request failed"
             );
         }
     }
--- a/src/relay/session/opening.rs
+++ b/src/relay/session/opening.rs
@@ -88,9 +88,11 @@
     };
     await_configuration(shared).await;
     let Some(route) = shared.route(&database) else {
+        let known = shared.config_knowledge();
         decision!(
-            "session", database = &*database, code = Code::UnknownService.number();
-            "unknown database requested"
+            "session", database = &*database, code = Code::UnknownService.number(),
+            version = known.version, in_force_ms = known.in_force_ms,
+            config_age_ms = known.age_ms; "unknown database requested"
         );
         return refuse(shared, writer, ErrorClass::NoDatabase, "no such database").await;
     };
@@ -99,7 +101,12 @@
             .metrics
             .account_refusals
             .add(1, &[label("reason", "unknown_key")]);
-        decision!("session", database = &*database; "unknown key refused");
+        let known = shared.config_knowledge();
+        decision!(
+            "session", database = &*database, version = known.version,
+            in_force_ms = known.in_force_ms, config_age_ms = known.age_ms;
+            "unknown key refused"
+        );
         let text = error.to_string();
         return refuse(shared, writer, ErrorClass::Unauthorized, &text).await;
     }
