--- a/src/decide/news_sources.rs
+++ b/src/decide/news_sources.rs
@@ -20,6 +20,20 @@
 const FOLLOWER_INDEX: usize = 2;
 /// Index of the hash score that ranks the sources of one VM.
 const SOURCE_INDEX: usize = 3;
+/// How long a subscription waits for changes, in milliseconds. A source that fails is
+/// noticed after this time and that of a call.
+pub const NEWS_WAIT_MS: u64 = 600;
+/// Longest time for an answer after its wait, in milliseconds: round trips to another
+/// region, and a source that is busy.
+pub const NEWS_MARGIN_MS: u64 = 700;
+/// Longest time to connect to a source, in milliseconds.
+pub const CONNECT_TIMEOUT_MS: u64 = 500;
+/// Pause before a call to the store that failed is repeated. Few VMs follow the store, so
+/// that they may ask often.
+pub const STORE_RETRY: Backoff = Backoff {
+    base_ms: 300,
+    max_ms: 1_200,
+};
 /// Pause before a source that failed is asked again.
 const SOURCE_BACKOFF: Backoff = Backoff {
     base_ms: 1_000,
--- a/src/news/exchange.rs
+++ b/src/news/exchange.rs
@@ -6,16 +6,16 @@
 };
 use crate::{
     clock,
-    decide::floor_news::{LastAnswer, OffsetFloor, floor_since},
+    decide::{
+        floor_news::{LastAnswer, OffsetFloor, floor_since},
+        news_sources::NEWS_WAIT_MS,
+    },
     metrics::label,
     prelude::*,
 };
 
 /// Longest wait for changes that another VM may ask for, in milliseconds.
 const WAIT_MAX_MS: u64 = 5_000;
-/// How long a subscription waits for changes, in milliseconds. A source that
-/// fails is noticed after this time and that of a call.
-const WAIT_MS: u64 = 600;
 
 impl Hub {
     /// Whether this VM has news for a request.
@@ -101,7 +101,7 @@
             eras: revisions.map(|(name, r)| (name.clone(), r.era)).collect(),
             floors: last.map_or_else(Default::default, |last| self.floors.borrow().echoed(last)),
             wants_floors: subscription == 0,
-            wait_ms: WAIT_MS,
+            wait_ms: NEWS_WAIT_MS,
         }
     }
 
--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -8,8 +8,7 @@
 use super::{hub::Hub, options::FollowedTable};
 use crate::{
     decide::{
-        news_sources::{StoreUse, StoreUseKind},
-        retry::Backoff,
+        news_sources::{STORE_RETRY, StoreUse, StoreUseKind},
         revision::Revision,
         table_copy::TablePage,
     },
@@ -17,13 +16,6 @@
     prelude::*,
 };
 
-/// Pause before a call that failed is repeated. Few VMs follow the store, so that
-/// they may ask often.
-const RETRY: Backoff = Backoff {
-    base_ms: 300,
-    max_ms: 1_200,
-};
-
 /// Reason why the store gave no page.
 #[derive(Clone, Debug, derive_more::Display, derive_more::Error)]
 pub enum SourceError {
@@ -90,7 +82,7 @@
                     _ => 0,
                 };
                 if !hub.apply_from_store(table.name, page, asked, next_ms) {
-                    pause(RETRY.max_ms).await;
+                    pause(STORE_RETRY.max_ms).await;
                     continue;
                 }
                 wants_whole = false;
@@ -117,7 +109,7 @@
                     );
                 }
                 failures += 1;
-                let pause_ms = RETRY.jittered_ms(failures, &mut rand::rng());
+                let pause_ms = STORE_RETRY.jittered_ms(failures, &mut rand::rng());
                 compio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
         }
--- a/src/news/subscription.rs
+++ b/src/news/subscription.rs
@@ -9,16 +9,14 @@
 use crate::{
     clock,
     control::peer_clients::{ByteCount, context_with_timeout, transport},
-    decide::floor_news::LastAnswer,
+    decide::{
+        floor_news::LastAnswer,
+        news_sources::{CONNECT_TIMEOUT_MS, NEWS_MARGIN_MS},
+    },
     decision_log::decision,
     prelude::*,
 };
 
-/// Longest time to connect to a source.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest time for an answer after its wait: round trips to another region, and
-/// a source that is busy.
-const ANSWER_MARGIN_MS: u64 = 700;
 /// Pause while there is no source.
 const NO_SOURCE_PAUSE_MS: u64 = 500;
 
@@ -89,7 +87,7 @@
 async fn ask(hub: &Hub, index: usize, source: &mut Source) -> Result<()> {
     let asked_ms = clock::boot_ms();
     let request = hub.request(index, source.last);
-    let timeout = Duration::from_millis(request.wait_ms + ANSWER_MARGIN_MS);
+    let timeout = Duration::from_millis(request.wait_ms + NEWS_MARGIN_MS);
     let call = source
         .client
         .changes(context_with_timeout(timeout), request);
@@ -108,7 +106,8 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<NewsFeedClient> {
-    let stream = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let stream = compio::time::timeout(limit, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| SubscriptionError::new("no connection in time"))?;
     let stream = stream.map_err(SubscriptionError::new)?;
     stream.set_nodelay(true).map_err(SubscriptionError::new)?;
