Let one failed call not make a configuration late

Callers saw: a database of a confirmed configuration refused (CONFIG) for longer than config_apply_ms, by VMs that the store answers.

Cause: a VM that no other VM serves polled the store at the pace of the bound until one poll failed. From then on the interval was 20 ms for each VM, whatever the bound: 2.8 s with 139 VMs, 6 s with 300. The time of the failed poll itself had no place in the sum of times either.

Change: pace() derives waits and polls from the bound with one failed call on the way, and the longest interval after failures so that two calls fit in once the store answers again. The interval doubles with each failure instead of jumping to the longest one. 2,000 calls a second instead of 50 are allowed to all VMs together while the store does not answer, a third of what the platform's stores take; for the target of 4,600 VMs and 9 s this is no limit.

Followers wait 1.75 s instead of 2.4 s for changes at a bound of 6 s, so that they call the store more often.

--- a/src/decide/news_sources.rs
+++ b/src/decide/news_sources.rs
@@ -44,14 +44,16 @@
 /// changes.
 const STALE_MARGIN_MS: u64 = 4_000;
 /// Store calls a second that all VMs without a source may make together while the
-/// store does not answer.
-const FALLBACK_CALLS_PER_S: u64 = 50;
+/// store does not answer: a third of those that the platform's stores take.
+const FALLBACK_CALLS_PER_S: u64 = 2_000;
 /// Shortest interval between two calls of a VM without a source, in milliseconds.
-const FALLBACK_INTERVAL_MIN_MS: u64 = 500;
+const FALLBACK_INTERVAL_MIN_MS: u64 = 300;
 /// Age of its news from which on a VM counts as without a source, in milliseconds:
-/// news passes two other VMs, each of which waits for changes, or is late because
-/// a call to one source failed.
-const FALLBACK_AGE_MS: u64 = 2_100;
+/// news passes two other VMs, each of which waits for changes.
+const FALLBACK_AGE_MS: u64 = 1_500;
+/// Longest time of a call to the store without its wait for changes, in milliseconds: a
+/// hundred times the usual answer time, as the store may become about that slow.
+pub const STORE_CALL_MS: u64 = 1_000;
 /// Shortest wait of one call for changes, in milliseconds.
 const WAIT_MIN_MS: u64 = 500;
 
@@ -90,17 +92,27 @@
     /// Longest interval at which a VM without a source reads the table while the
     /// store answers it, in milliseconds.
     pub poll_ms: u64,
+    /// The same while the store does not answer it, in milliseconds.
+    pub retry_ms: u64,
 }
 
-/// Times with which changes reach every VM to which the store answers within
-/// `bound_ms`, also while its sources hear nothing and do not notice it until their
-/// calls of at most `wait_max_ms` end. An eighth of the bound is left for the calls.
+/// Times with which changes reach every VM to which the store answers within `bound_ms`,
+/// although one call fails on their way:
+///
+/// - while its sources hear nothing, and do not notice it until their calls of at most
+///   `wait_max_ms` end: their wait, the VM's doubt, and two polls;
+/// - once the store answers it again: the end of a call, and two polls.
+///
+/// An eighth of the bound is left for the calls themselves.
 pub fn pace(bound_ms: u64, wait_max_ms: u64) -> Pace {
-    let poll_ms = (bound_ms / 8).max(FALLBACK_INTERVAL_MIN_MS);
-    let wait_ms = (bound_ms - bound_ms / 4).saturating_sub(FALLBACK_AGE_MS);
+    let time_ms = bound_ms - bound_ms / 8;
+    let poll_ms = (bound_ms / 12).max(FALLBACK_INTERVAL_MIN_MS);
+    let wait_ms = time_ms.saturating_sub(FALLBACK_AGE_MS + STORE_CALL_MS + 2 * poll_ms);
+    let retry_ms = (time_ms / 2).saturating_sub(STORE_CALL_MS);
     Pace {
         wait_ms: wait_ms.min(wait_max_ms).max(WAIT_MIN_MS),
         poll_ms,
+        retry_ms: retry_ms.max(poll_ms),
     }
 }
 
@@ -147,9 +159,14 @@
 }
 
 /// How a VM that is or is not a follower uses the store, while `vms` VMs run and
-/// its own news is `age_ms` old. While the store answers, it is read at intervals of
-/// at most `poll_ms`.
-pub fn store_use(is_follower: bool, vms: usize, age_ms: u64, poll_ms: Option<u64>) -> StoreUse {
+/// its own news is `age_ms` old, after its last `failures` calls failed.
+pub fn store_use(
+    is_follower: bool,
+    vms: usize,
+    age_ms: u64,
+    failures: u32,
+    pace: Pace,
+) -> StoreUse {
     if is_follower {
         return StoreUse::Follow;
     }
@@ -157,9 +174,14 @@
         let for_ms = FALLBACK_AGE_MS - age_ms;
         return StoreUse::Leave { for_ms };
     }
-    let interval_ms = (vms as u64 * 1_000 / FALLBACK_CALLS_PER_S).max(FALLBACK_INTERVAL_MIN_MS);
+    let shared_ms = vms as u64 * 1_000 / FALLBACK_CALLS_PER_S;
+    let backoff = Backoff {
+        base_ms: pace.poll_ms,
+        max_ms: pace.retry_ms.max(shared_ms),
+    };
+    // The first failure may be that of one call only.
     StoreUse::Poll {
-        interval_ms: interval_ms.min(poll_ms.unwrap_or(u64::MAX)),
+        interval_ms: backoff.delay_ms(failures),
     }
 }
 
--- a/src/news/hub.rs
+++ b/src/news/hub.rs
@@ -173,8 +173,8 @@
         };
         let since_ms = confirmed_ms.unwrap_or(0).max(self.role_since_ms.get());
         let age_ms = now_ms.saturating_sub(since_ms);
-        let poll_ms = (failures == 0).then_some(table.poll_ms);
-        store_use(self.is_follower.get(), vms.places.len(), age_ms, poll_ms)
+        let is_follower = self.is_follower.get();
+        store_use(is_follower, vms.places.len(), age_ms, failures, table.pace)
     }
 
     /// Waits for a change of the list of VMs, for at most `limit_ms`.
--- a/src/news/options.rs
+++ b/src/news/options.rs
@@ -3,21 +3,22 @@
 use std::rc::Rc;
 
 use super::StoreSource;
-use crate::{decide::table_copy::TableCopy, metrics::Metrics, prelude::*};
+use crate::{
+    decide::{news_sources::Pace, table_copy::TableCopy},
+    metrics::Metrics,
+    prelude::*,
+};
 
 /// A table that is followed.
 #[derive(Clone)]
 pub struct FollowedTable {
     /// Name.
     pub name: &'static str,
-    /// Longest wait of one call for changes of the table, in milliseconds; `None`
-    /// for a table that is read as a whole.
-    pub wait_ms: Option<u64>,
-    /// Longest interval at which such a table is read, in milliseconds.
-    pub read_interval_ms: u64,
-    /// Longest interval at which a VM without a source reads the table while the
-    /// store answers, in milliseconds.
-    pub poll_ms: u64,
+    /// Longest interval at which the table is read as a whole, in milliseconds; `None` for
+    /// a table whose changes are awaited.
+    pub read_interval_ms: Option<u64>,
+    /// Times of the calls about the table.
+    pub pace: Pace,
     /// Called with the copy after each change.
     pub on_change: Rc<dyn Fn(&TableCopy)>,
 }
--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -69,16 +69,17 @@
             StoreUse::Follow => {}
         }
         // After a failure, the answer tells at once that the store is back.
-        let wait_ms = match store_use {
-            StoreUse::Follow if failures == 0 => table.wait_ms,
-            _ => table.wait_ms.and(Some(0)),
+        let wait_ms = match (table.read_interval_ms, store_use) {
+            (Some(_), _) => None,
+            (None, StoreUse::Follow) if failures == 0 => Some(table.pace.wait_ms),
+            (None, _) => Some(0),
         };
         let answer = step(&hub, table.name, wait_ms, wants_whole).await;
         hub.record_store_call(table.name, way, answer.is_ok());
         match answer {
             Ok((page, asked)) => {
                 let next_ms = match store_use {
-                    StoreUse::Follow => table.wait_ms.unwrap_or(table.read_interval_ms),
+                    StoreUse::Follow => table.read_interval_ms.unwrap_or(table.pace.wait_ms),
                     _ => 0,
                 };
                 if !hub.apply_from_store(table.name, page, asked, next_ms) {
@@ -89,8 +90,8 @@
                 if std::mem::take(&mut failures) > 0 {
                     log::info!(target: "dependency", table = table.name; "store available again");
                 }
-                if wait_ms.is_none() {
-                    pause(table.read_interval_ms).await;
+                if let Some(interval_ms) = table.read_interval_ms {
+                    pause(interval_ms).await;
                 }
             }
             Err(SourceError::HistoryDropped) => {
@@ -109,8 +110,11 @@
                     );
                 }
                 failures += 1;
-                let pause_ms = STORE_RETRY.jittered_ms(failures, &mut rand::rng());
-                compio::time::sleep(Duration::from_millis(pause_ms)).await;
+                // A VM that polls pauses before each call anyway.
+                if matches!(store_use, StoreUse::Follow) {
+                    let pause_ms = STORE_RETRY.jittered_ms(failures, &mut rand::rng());
+                    compio::time::sleep(Duration::from_millis(pause_ms)).await;
+                }
             }
         }
     }
