Refuse a database or key for good only where the configuration is the newest

Callers saw: no such database, from a VM whose configuration was older than the bound, or that had none since its start (after 1.5 s).

Cause: what a VM does not know was taken for what does not exist, whatever the age of its knowledge. Class: an answer claims more than the VM knows.

Change: a VM that has no configuration, or whose configuration the store last confirmed longer ago than the bound allows, refuses an unknown database or key as busy, with the time to come back. The limit is derived from the bound: seven eighths, less the wait of a follower's call, for which its news counts as confirmed.

It does not make configurations arrive earlier: requests of dropped routes still run.

--- a/src/decide/news_sources.rs
+++ b/src/decide/news_sources.rs
@@ -116,6 +116,13 @@
     }
 }
 
+/// Longest age of a VM's news with which it may say what does not exist, so that no such
+/// answer ignores a change of more than `bound_ms` before. A follower's news counts as
+/// confirmed until the end of its wait, which is left out.
+pub fn certain_age_ms(bound_ms: u64, pace: Pace) -> u64 {
+    (bound_ms - bound_ms / 8).saturating_sub(pace.wait_ms)
+}
+
 /// The VMs of a zone that follow the store.
 pub fn followers(zone: &Name, vms: &BTreeMap<Name, VmPlace>) -> Vec<Name> {
     let here: Vec<(&Name, &VmPlace)> = vms.iter().filter(|(_, vm)| vm.zone == *zone).collect();
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -35,6 +35,10 @@
 /// Part of the grace period that is kept for the exit of the process.
 const STOP_RESERVE_MS: u64 = 800;
 
+/// Time after which a caller should ask another VM for what this one does not know, in
+/// milliseconds.
+const UNCERTAIN_RETRY_MS: u64 = 300;
+
 /// No client account holds the key of a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("no account holds the key")]
@@ -80,17 +84,40 @@
         config.as_ref()?.routes.get(database).cloned()
     }
 
+    /// Version of the configuration in force.
+    pub fn version(&self) -> Option<u64> {
+        self.config.borrow().as_ref().map(|config| config.version)
+    }
+
     /// What decides whether a database or key is known, for log lines.
     pub fn config_knowledge(&self) -> ConfigKnowledge {
         let config = self.config.borrow();
         let in_force_ms = clock::boot_ms().saturating_sub(self.config_since_ms.get());
         ConfigKnowledge {
-            version: config.as_ref().map_or(0, |config| config.version),
+            version: self.version().unwrap_or(0),
             in_force_ms: config.as_ref().map_or(0, |_| in_force_ms),
             age_ms: (self.options.config_age_ms)().map_or(-1, |age_ms| age_ms as i64),
         }
     }
 
+    /// Class and text of the refusal of a database or key that the configuration in force
+    /// lacks. It is final only where that configuration is known to be the newest; otherwise
+    /// another VM may know better.
+    pub fn refusal(&self, class: ErrorClass, text: &str) -> (ErrorClass, String) {
+        let age_ms = (self.options.config_age_ms)();
+        let is_newest = age_ms.is_some_and(|age_ms| age_ms <= self.options.config_age_max_ms);
+        match is_newest && self.config.borrow().is_some() {
+            true => (class, text.to_owned()),
+            false => {
+                let text = format!(
+                    "{text} in the configuration known here, which may be old; \
+                     retry after {UNCERTAIN_RETRY_MS} ms"
+                );
+                (ErrorClass::Busy, text)
+            }
+        }
+    }
+
     /// Client account that holds a key, in the configuration in force. `Ok(None)` where
     /// statements run without one: the configuration has no accounts, or the route
     /// needs no key.
@@ -204,7 +231,7 @@
 
     /// Version of the configuration in force.
     pub fn version(&self) -> Option<u64> {
-        self.shared.config.borrow().as_ref().map(|c| c.version)
+        self.shared.version()
     }
 
     /// Puts a configuration in force if it is newer than the current one.
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -75,8 +75,11 @@
     pub on_floor: FloorListener,
     /// Time since the platform last confirmed the configuration, in milliseconds; `None`
     /// if it never has.
-    #[builder(default = Rc::new(|| None))]
+    #[builder(default = Rc::new(|| Some(0)))]
     pub config_age_ms: Rc<dyn Fn() -> Option<u64>>,
+    /// Longest such time for which the configuration counts as the newest, in milliseconds.
+    #[builder(default = u64::MAX)]
+    pub config_age_max_ms: u64,
     /// Longest time of a graceful shutdown, in milliseconds.
     pub grace_ms: u64,
     /// Whether to learn from a member's answers how many requests it takes well at once.
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -174,8 +174,7 @@
         reason: &str,
         took_ms: u64,
     ) {
-        let known = self.shared.config_knowledge();
-        let version = known.version;
+        let version = self.shared.version().unwrap_or(0);
         let request = String::from_utf8_lossy(&statement.id);
         if outcome == "done" {
             decision!(
@@ -183,6 +182,7 @@
                 version = version, took_ms = took_ms; "request done"
             );
         } else {
+            let known = self.shared.config_knowledge();
             decision!(
                 "request_failed", request = request, kind = kind, database = &*self.database,
                 version = version, in_force_ms = known.in_force_ms,
@@ -192,6 +192,18 @@
         }
     }
 
+    fn unknown_key(&self) -> Reply {
+        let text = UnknownKey.to_string();
+        let (class, text) = self.shared.refusal(ErrorClass::Unauthorized, &text);
+        Reply::Error(class, text)
+    }
+
+    fn no_route(&self) -> Reply {
+        let text = "the database has no route any more";
+        let (class, text) = self.shared.refusal(ErrorClass::NoDatabase, text);
+        Reply::Error(class, text)
+    }
+
     /// Accounts for a variable or prepared statement of `bytes` that the caller adds.
     fn grow(&mut self, bytes: usize) -> std::result::Result<(), Reply> {
         let budget = &self.shared.options.large_messages.bytes;
@@ -259,7 +271,7 @@
             return Reply::error(ErrorClass::Malformed, "a transaction is open already");
         }
         let Some(route) = self.shared.route(&self.database) else {
-            return no_route();
+            return self.no_route();
         };
         if let Err(reply) = self.authorize(&route) {
             return reply;
@@ -290,11 +302,3 @@
         }
     }
 }
-
-fn unknown_key() -> Reply {
-    Reply::error(ErrorClass::Unauthorized, UnknownKey.to_string())
-}
-
-fn no_route() -> Reply {
-    Reply::error(ErrorClass::NoDatabase, "the database has no route any more")
-}
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -84,7 +84,7 @@
         route: &Route,
     ) -> std::result::Result<Option<Arc<Account>>, Reply> {
         let account = self.shared.account(route, &self.key);
-        let account = account.map_err(|UnknownKey| unknown_key())?;
+        let account = account.map_err(|UnknownKey| self.unknown_key())?;
         let name = account.as_ref().map(|account| &account.name);
         if self.setup.account.as_ref() != name {
             Rc::make_mut(&mut self.setup).account = name.cloned();
@@ -95,7 +95,7 @@
     /// Waits until the caller's account may run an operation.
     pub(super) async fn admit(&mut self) -> std::result::Result<Option<Arc<Account>>, Reply> {
         let Some(route) = self.shared.route(&self.database) else {
-            return Err(no_route());
+            return Err(self.no_route());
         };
         let account = self.authorize(&route)?;
         let Some(limited) = &account else {
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -71,7 +71,7 @@
         loop {
             // Looked up for each attempt, so that a new configuration applies at once.
             let Some(route) = self.shared.route(&self.database) else {
-                return no_route();
+                return self.no_route();
             };
             if let Err(reply) = self.authorize(&route) {
                 return reply;
--- a/src/relay/session/opening.rs
+++ b/src/relay/session/opening.rs
@@ -94,7 +94,8 @@
             version = known.version, in_force_ms = known.in_force_ms,
             config_age_ms = known.age_ms; "unknown database requested"
         );
-        return refuse(shared, writer, ErrorClass::NoDatabase, "no such database").await;
+        let (class, text) = shared.refusal(ErrorClass::NoDatabase, "no such database");
+        return refuse(shared, writer, class, &text).await;
     };
     if let Err(error) = shared.account(&route, &key) {
         shared
@@ -107,8 +108,8 @@
             in_force_ms = known.in_force_ms, config_age_ms = known.age_ms;
             "unknown key refused"
         );
-        let text = error.to_string();
-        return refuse(shared, writer, ErrorClass::Unauthorized, &text).await;
+        let (class, text) = shared.refusal(ErrorClass::Unauthorized, &error.to_string());
+        return refuse(shared, writer, class, &text).await;
     }
     let mut output = BytesMut::new();
     (codec.ready)(&mut output, SessionState::Idle, None);
