Look for a source that hears when the news of all sources is old

Callers saw: VMs that had lost the store, and whose two sources had lost it too, kept an old configuration for as long as that lasted, while other VMs nearby knew the new one.

Cause: a source's news is compared with the VM's own, which grows old with it, so that no source ever looked bad. Class: a state is judged by a copy of itself.

Change: the second subscription passes over a source whose news is older than a VM without sources may have, or that knows nothing, and asks the next one; the first stays, so that the return of the store is heard at once.

--- a/src/decide/news_sources.rs
+++ b/src/decide/news_sources.rs
@@ -56,6 +56,9 @@
 pub const STORE_CALL_MS: u64 = 1_000;
 /// Shortest wait of one call for changes, in milliseconds.
 const WAIT_MIN_MS: u64 = 500;
+/// Time for which a source with old news is passed over, in milliseconds: several others
+/// can be asked meanwhile.
+const PASS_OVER_MS: u64 = 6_000;
 
 /// Longest time for which a VM waits for the list of VMs before it follows the
 /// store, in milliseconds.
@@ -261,6 +264,16 @@
         health.retry_ms = now_ms + jitter(SOURCE_BACKOFF.delay_ms(health.failures));
     }
 
+    /// Lets a subscription ask another source next, after one that answered with news of
+    /// `age_ms`. Where all news is old, the first subscription stays, and the others look for
+    /// a source that hears.
+    pub fn pass_over_if_old(&mut self, subscription: usize, vm: &Name, age_ms: u64, now_ms: u64) {
+        if subscription > 0 && age_ms >= FALLBACK_AGE_MS {
+            let health = self.health.entry(vm.clone()).or_default();
+            health.retry_ms = health.retry_ms.max(now_ms + PASS_OVER_MS);
+        }
+    }
+
     /// Records that a source answered with news of `age_ms`, while this VM's own
     /// is `own_age_ms` old; returns whether the source is good.
     pub fn record_answer(&mut self, vm: &Name, age_ms: u64, own_age_ms: u64) -> bool {
--- a/src/news/exchange.rs
+++ b/src/news/exchange.rs
@@ -105,11 +105,23 @@
         }
     }
 
-    /// Applies the answer of a source to a request of `asked_ms`; returns whether the
-    /// source is good.
-    pub(super) fn apply_answer(&self, source: &Name, answer: NewsAnswer, asked_ms: u64) -> bool {
+    /// Applies the answer of a source to a subscription's request of `asked_ms`; returns
+    /// whether the source is good.
+    pub(super) fn apply_answer(
+        &self,
+        subscription: usize,
+        source: &Name,
+        answer: NewsAnswer,
+        asked_ms: u64,
+    ) -> bool {
         self.hear_floors(source, &answer.floors, asked_ms);
         let mut is_good = true;
+        // A source without any copy knows nothing yet.
+        let mut oldest_ms = if answer.tables.is_empty() {
+            u64::MAX
+        } else {
+            0
+        };
         for (name, news) in answer.tables {
             let own_age_ms = self.age_ms(&name);
             let confirmed_ms = clock::boot_ms().saturating_sub(news.age_ms);
@@ -117,7 +129,10 @@
             let own_age_ms = own_age_ms.unwrap_or(u64::MAX / 2);
             let mut choice = self.choice.borrow_mut();
             is_good &= choice.record_answer(source, news.age_ms, own_age_ms);
+            oldest_ms = oldest_ms.max(news.age_ms);
         }
+        let mut choice = self.choice.borrow_mut();
+        choice.pass_over_if_old(subscription, source, oldest_ms, clock::boot_ms());
         self.metrics
             .news_answers
             .add(1, &[label("outcome", "done")]);
--- a/src/news/subscription.rs
+++ b/src/news/subscription.rs
@@ -99,7 +99,7 @@
         written_ms: answer.written_ms,
         arrived_ms: clock::boot_ms(),
     });
-    match hub.apply_answer(&source.vm, answer, asked_ms) {
+    match hub.apply_answer(index, &source.vm, answer, asked_ms) {
         true => Ok(()),
         false => Err(SubscriptionError::new("its news is old or not usable")),
     }
--- a/tests/news_orderings/faults.rs
+++ b/tests/news_orderings/faults.rs
@@ -13,6 +13,8 @@
     Outage,
     /// The store is silent to a part of the VMs, or refuses their calls.
     Deaf,
+    /// The store is silent to half of the VMs.
+    DeafHalf,
     /// An outage, from the end of which on the store is silent to most VMs.
     OutageThenDeaf,
     /// A part of the VMs reaches no other VM.
@@ -105,6 +107,7 @@
         };
         let affected = some(share);
         let most = some(0.9);
+        let half = some(0.5);
         let long_ms = rng.random_range(3_000..16_000);
         let short_ms = rng.random_range(1_000..6_000);
         let state = match rng.random_bool(0.5) {
@@ -119,6 +122,10 @@
         match kind {
             Fault::Outage => self.store.push((window(from_ms, short_ms, None), state)),
             Fault::Deaf => self.store.push((window(from_ms, long_ms, affected), state)),
+            Fault::DeafHalf => {
+                let deaf = window(from_ms, 15_000, half);
+                self.store.push((deaf, StoreState::Silent));
+            }
             Fault::OutageThenDeaf => {
                 let outage = window(from_ms, short_ms, None);
                 let deaf = window(outage.to_ms, 12_000, most);
--- a/tests/news_orderings/main.rs
+++ b/tests/news_orderings/main.rs
@@ -12,7 +12,7 @@
 
 use self::{
     faults::{Fault, Faults},
-    world::{Late, World},
+    world::{Late, Owed, World},
 };
 
 /// Number of plays of each kind, if the environment doesn't set one.
@@ -23,10 +23,10 @@
     set.and_then(|set| set.parse().ok()).unwrap_or(SEEDS)
 }
 
-fn search(per_zone: usize, bound_ms: u64, kinds: &[Fault]) -> Vec<(u64, Late)> {
+fn search(per_zone: usize, bound_ms: u64, kinds: &[Fault], owed: Owed) -> Vec<(u64, Late)> {
     let plays = (0..seeds()).filter_map(|seed| {
         let faults = Faults::draw(seed, per_zone, kinds);
-        let late = World::new(seed, per_zone, bound_ms, faults).play();
+        let late = World::new(seed, per_zone, bound_ms, faults).play(owed);
         late.map(|late| (seed, late))
     });
     plays.collect()
@@ -46,7 +46,7 @@
     one_call_of_each_vm_fails = { 50, 6_000, &[Fault::Deaf, Fault::FailedCalls] },
 )]
 fn changes_are_in_force_in_time(per_zone: usize, bound_ms: u64, kinds: &[Fault]) {
-    let found = search(per_zone, bound_ms, kinds);
+    let found = search(per_zone, bound_ms, kinds, Owed::InTouch);
     assert!(
         found.is_empty(),
         "{} of {} seeds: {found:?}",
@@ -54,3 +54,19 @@
         seeds()
     );
 }
+
+/// VMs that lose the store and whose sources lose it too turn to others that hear.
+#[parameterized(
+    few = { 8 },
+    hundred = { 23 },
+    hundreds = { 50 },
+)]
+fn vms_without_the_store_hear_from_others(per_zone: usize) {
+    let found = search(per_zone, 6_000, &[Fault::DeafHalf], Owed::All);
+    assert!(
+        found.is_empty(),
+        "{} of {}: {found:?}",
+        found.len(),
+        seeds()
+    );
+}
--- a/tests/news_orderings/subscriber.rs
+++ b/tests/news_orderings/subscriber.rs
@@ -95,6 +95,9 @@
             state: State::Idle,
         };
         if !has_copy {
+            state
+                .choice
+                .pass_over_if_old(index, &name, u64::MAX, now_ms);
             return;
         }
         let own_age_ms = match state.confirmed_ms {
@@ -102,7 +105,9 @@
             _ => state.age_ms(now_ms),
         };
         state.hear(known, now_ms - age_ms);
-        if !state.choice.record_answer(&name, age_ms, own_age_ms) {
+        let is_good = state.choice.record_answer(&name, age_ms, own_age_ms);
+        state.choice.pass_over_if_old(index, &name, age_ms, now_ms);
+        if !is_good {
             self.fail(vm, index, source);
         }
     }
--- a/tests/news_orderings/world.rs
+++ b/tests/news_orderings/world.rs
@@ -39,6 +39,14 @@
     pub changed_ms: u64,
 }
 
+/// Which VMs must know of changes in time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Owed {
+    /// Those that the store answers.
+    InTouch,
+    All,
+}
+
 pub struct World {
     pub rng: StdRng,
     pub now_ms: u64,
@@ -91,7 +99,7 @@
     }
 
     /// Plays to the end, or until a VM is late.
-    pub fn play(mut self) -> Option<Late> {
+    pub fn play(mut self, owed: Owed) -> Option<Late> {
         let mut next_change_ms = 2_000;
         while self.now_ms < END_MS {
             if self.now_ms >= next_change_ms && self.faults.takes_changes(self.now_ms) {
@@ -102,7 +110,7 @@
             for vm in 0..self.vms.len() {
                 self.step(vm);
             }
-            let late = self.late();
+            let late = self.late(owed);
             if late.is_some() {
                 return late;
             }
@@ -122,11 +130,13 @@
         }
     }
 
-    fn late(&self) -> Option<Late> {
+    fn late(&self, owed: Owed) -> Option<Late> {
         let before = |at_ms: &&u64| **at_ms + self.bound_ms <= self.now_ms;
         let due = self.changed_ms.iter().take_while(before).count() as u64;
         let is_late = |vm: &usize| {
-            self.vms[*vm].known < due && self.faults.is_in_touch(*vm, self.now_ms, self.bound_ms)
+            let is_owed =
+                owed == Owed::All || self.faults.is_in_touch(*vm, self.now_ms, self.bound_ms);
+            self.vms[*vm].known < due && is_owed
         };
         let vm = (0..self.vms.len()).find(is_late)?;
         Some(Late {
