Count the age of news from the question on, without its time on the way

Cause: a VM counted news as confirmed at the moment of its arrival less the age that the source had told. Time in a queue, on a slow link, or while this VM was suspended made old news young; two VMs that lost the store raised each other's news with every answer. Class: the age of a message leaves out the time for which it was on its way. Floors have been counted from the question on since they are passed on; ages were not.

Change: an answer tells for how long the question was held, and the age counts from there. An answer of an older build, which does not tell, makes the news at most 0.6 s older.

--- a/src/decide/news_sources.rs
+++ b/src/decide/news_sources.rs
@@ -126,6 +126,13 @@
     (bound_ms - bound_ms / 8).saturating_sub(pace.wait_ms)
 }
 
+/// Time at which the store confirmed news of `age_ms`, at the latest: the other VM answered a
+/// question of `asked_ms` after it had held it for `held_ms`. The time on the way, during
+/// which this VM may have been suspended, makes the news older, never newer.
+pub fn confirmed_ms(asked_ms: u64, held_ms: u64, age_ms: u64) -> u64 {
+    (asked_ms + held_ms).saturating_sub(age_ms)
+}
+
 /// The VMs of a zone that follow the store.
 pub fn followers(zone: &Name, vms: &BTreeMap<Name, VmPlace>) -> Vec<Name> {
     let here: Vec<(&Name, &VmPlace)> = vms.iter().filter(|(_, vm)| vm.zone == *zone).collect();
--- a/src/news/exchange.rs
+++ b/src/news/exchange.rs
@@ -8,7 +8,7 @@
     clock,
     decide::{
         floor_news::{LastAnswer, OffsetFloor, floor_since},
-        news_sources::NEWS_WAIT_MS,
+        news_sources::{NEWS_WAIT_MS, confirmed_ms},
     },
     metrics::label,
     prelude::*,
@@ -59,6 +59,7 @@
         Some(NewsAnswer {
             tables: known.collect(),
             written_ms: now_ms,
+            held_ms: now_ms.saturating_sub(arrived_ms),
             floors: match request.wants_floors {
                 true => self.floors.borrow().for_answer(arrived_ms, now_ms),
                 false => BTreeMap::new(),
@@ -124,7 +125,7 @@
         };
         for (name, news) in answer.tables {
             let own_age_ms = self.age_ms(&name);
-            let confirmed_ms = clock::boot_ms().saturating_sub(news.age_ms);
+            let confirmed_ms = confirmed_ms(asked_ms, answer.held_ms, news.age_ms);
             is_good &= self.apply(&name, news.page, confirmed_ms, source);
             let own_age_ms = own_age_ms.unwrap_or(u64::MAX / 2);
             let mut choice = self.choice.borrow_mut();
--- a/src/news/message.rs
+++ b/src/news/message.rs
@@ -53,6 +53,10 @@
     pub tables: BTreeMap<Name, TableNews>,
     /// Time of the answer on the clock of the answering VM, in milliseconds.
     pub written_ms: u64,
+    /// Time for which the answering VM held the request, in milliseconds; missing in answers
+    /// of older builds.
+    #[serde(default)]
+    pub held_ms: u64,
     /// Floors by service.
     pub floors: BTreeMap<Name, OffsetFloor>,
 }
--- a/tests/decide_news.rs
+++ b/tests/decide_news.rs
@@ -8,8 +8,8 @@
         floor_news::{Floors, LastAnswer, OffsetFloor, floor_since},
         load::holders::VmPlace,
         news_sources::{
-            NEWS_WAIT_MS, STORE_CALL_MS, Sources, StoreUse, followers, is_follower, pace, sources,
-            store_use, store_use_at_start,
+            NEWS_WAIT_MS, STORE_CALL_MS, Sources, StoreUse, confirmed_ms, followers, is_follower,
+            pace, sources, store_use, store_use_at_start,
         },
         revision::Revision,
         table_copy::{PageError, StoreAnswer, StoreJudge, TableCopy, TablePage, TableRow},
@@ -521,6 +521,24 @@
     assert!(passed_on > 5_000, "{passed_on}");
 }
 
+/// News that waits on its way, also in both directions, does not count as confirmed later
+/// than it was.
+#[test]
+fn delayed_news_is_not_taken_for_newer() {
+    for seed in 0..300 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let clock_ahead_ms = random.random_range(0..1_000_000);
+        let store_confirmed_ms = 5_000 + random.random_range(0..1_000);
+        let asked_ms = store_confirmed_ms + random.random_range(0..3_000);
+        let arrived_ms = asked_ms + random.random_range(0..3_000);
+        let written_ms = arrived_ms + random.random_range(0..600);
+        // On the clock of the VM that answers.
+        let age_ms = (written_ms + clock_ahead_ms) - (store_confirmed_ms + clock_ahead_ms);
+        let confirmed_ms = confirmed_ms(asked_ms, written_ms - arrived_ms, age_ms);
+        assert!(confirmed_ms <= store_confirmed_ms, "seed {seed}");
+    }
+}
+
 #[parameterized(
     no_answer_before = { 0, 5, None },
     answer_of_the_future = { 20_000, 0, None },
--- a/tests/news_orderings/subscriber.rs
+++ b/tests/news_orderings/subscriber.rs
@@ -1,6 +1,8 @@
 //! A VM that asks another one for news, as `news/subscription.rs` does.
 
-use foxtailknot::decide::news_sources::{CONNECT_TIMEOUT_MS, NEWS_MARGIN_MS, NEWS_WAIT_MS};
+use foxtailknot::decide::news_sources::{
+    CONNECT_TIMEOUT_MS, NEWS_MARGIN_MS, NEWS_WAIT_MS, confirmed_ms,
+};
 use rand::Rng;
 
 use crate::world::World;
@@ -53,7 +55,7 @@
                 if is_lost && now_ms >= began_ms + limit_ms {
                     self.fail(vm, index, source);
                 } else if !is_lost && is_answered && now_ms >= began_ms + ANSWER_MS {
-                    self.answered(vm, index, source);
+                    self.answered(vm, index, source, began_ms);
                 } else {
                     self.vms[vm].subscribers[index].state = State::Asking {
                         source,
@@ -84,7 +86,7 @@
         };
     }
 
-    fn answered(&mut self, vm: usize, index: usize, source: usize) {
+    fn answered(&mut self, vm: usize, index: usize, source: usize, began_ms: u64) {
         let now_ms = self.now_ms;
         let (known, age_ms) = (self.vms[source].known, self.vms[source].age_ms(now_ms));
         let has_copy = self.vms[source].confirmed_ms > 0;
@@ -104,7 +106,8 @@
             0 => u64::MAX / 2,
             _ => state.age_ms(now_ms),
         };
-        state.hear(known, now_ms - age_ms);
+        let held_ms = (now_ms - began_ms).saturating_sub(ANSWER_MS);
+        state.hear(known, confirmed_ms(began_ms, held_ms, age_ms));
         let is_good = state.choice.record_answer(&name, age_ms, own_age_ms);
         state.choice.pass_over_if_old(index, &name, age_ms, now_ms);
         if !is_good {
