--- a/src/decide/news_sources.rs
+++ b/src/decide/news_sources.rs
@@ -49,8 +49,8 @@
 /// Shortest interval between two calls of a VM without a source, in milliseconds.
 const FALLBACK_INTERVAL_MIN_MS: u64 = 300;
 /// Age of its news from which on a VM counts as without a source, in milliseconds:
-/// news passes two other VMs, each of which waits for changes.
-const FALLBACK_AGE_MS: u64 = 1_500;
+/// news passes two other VMs, each of which waits for changes, and is late on busy ones.
+const FALLBACK_AGE_MS: u64 = 1_800;
 /// Longest time of a call to the store without its wait for changes, in milliseconds: a
 /// hundred times the usual answer time, as the store may become about that slow.
 pub const STORE_CALL_MS: u64 = 1_000;
