Send the account search's proofs of contact in one place

Cause: reading the change again: `prove_contact` and `keep_contact` of the search build the same message, which the meter has in one function, and `config_knowledge` borrows the configuration twice for one version.

Change: `ask_for_contact` in the search, as in the meter; the version is read once. Behaviour, bounds and assertions stay.

--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -91,11 +91,11 @@
 
     /// What decides whether a database or key is known, for log lines.
     pub fn config_knowledge(&self) -> ConfigKnowledge {
-        let config = self.config.borrow();
+        let version = self.version();
         let in_force_ms = clock::boot_ms().saturating_sub(self.config_since_ms.get());
         ConfigKnowledge {
-            version: self.version().unwrap_or(0),
-            in_force_ms: config.as_ref().map_or(0, |_| in_force_ms),
+            version: version.unwrap_or(0),
+            in_force_ms: version.map_or(0, |_| in_force_ms),
             age_ms: (self.options.config_age_ms)().map_or(-1, |age_ms| age_ms as i64),
         }
     }
--- a/tests/account_orderings.rs
+++ b/tests/account_orderings.rs
@@ -362,14 +362,7 @@
         }
         // Like the product, never itself: a VM that is cut off would prove contact.
         let other = (vm + self.rng.random_range(1..VMS)) % VMS;
-        self.sequence += 1;
-        let take = Message::Take {
-            from: vm,
-            question: self.sequence,
-            rank: 0,
-            tokens: 0,
-        };
-        self.send(vm, other, take);
+        self.ask_for_contact(vm, other);
     }
 
     /// Proves contact to the deputy that counts for this VM.
@@ -383,6 +376,10 @@
             return;
         }
         state.deputy_contact_ms = self.now_ms;
+        self.ask_for_contact(vm, deputy);
+    }
+
+    fn ask_for_contact(&mut self, vm: usize, other: usize) {
         self.sequence += 1;
         let take = Message::Take {
             from: vm,
@@ -390,7 +387,7 @@
             rank: 0,
             tokens: 0,
         };
-        self.send(vm, deputy, take);
+        self.send(vm, other, take);
     }
 
     fn step(&mut self, per_s: f64) {
