Log by which version a statement was sent, and how late tasks run

The line of a request had the version in force when the request ended; a statement that was sent by an older one looked like any other. It now has the version and service of the route by which it was sent, and the age of the configuration also where the request succeeds.

Decisions are unchanged.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod decide;
 pub mod decision_log;
 pub mod http;
+pub mod lag;
 pub mod logging;
 pub mod lsn;
 pub mod metrics;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -63,6 +63,8 @@
     pub era_changes: Counter<u64>,
     /// Age of the VM's news by table when more arrives, in milliseconds.
     pub news_age_ms: Histogram<f64>,
+    /// Time by which tasks of the process run late, in milliseconds.
+    pub task_lag_ms: Histogram<f64>,
     /// Calls to the store about followed tables, by table, way and outcome.
     pub store_calls: Counter<u64>,
     /// Version of the configuration in force.
@@ -116,6 +118,7 @@
             news_answers: counter("foxtailknot_news_answers"),
             era_changes: counter("foxtailknot_era_changes"),
             news_age_ms: meter.f64_histogram("foxtailknot_news_age_ms").build(),
+            task_lag_ms: meter.f64_histogram("foxtailknot_task_lag_ms").build(),
             store_calls: counter("foxtailknot_store_calls"),
             config_version: meter.u64_gauge("foxtailknot_config_version").build(),
             callers_refused: counter("foxtailknot_callers_refused"),
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -23,6 +23,8 @@
 /// A route to a database.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
+    /// Version of the configuration that it is part of.
+    pub version: u64,
     /// Name of the route.
     pub name: Name,
     /// Service that holds the database.
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -81,6 +81,8 @@
     setup: Rc<SessionSetup>,
     prepared: BTreeMap<Bytes, Rc<PreparedStatement>>,
     transaction: Option<Transaction>,
+    /// Route by which the statement in progress was sent to a member.
+    sent_by: Option<Arc<Route>>,
     /// Position of the session's last acknowledged commit: the floor of its reads
     /// on a route with read-your-writes consistency.
     floor: Option<Position>,
@@ -132,6 +134,7 @@
         output: &mut BytesMut,
     ) -> Option<Rc<Reservation>> {
         let arrived_us = clock::boot_us();
+        self.sent_by = None;
         let reply = self.execute(statement, arrived_us).await;
         let codec = &self.shared.options.codecs.caller;
         let kind: &'static str = (&statement.kind).into();
@@ -176,18 +179,22 @@
     ) {
         let version = self.shared.version().unwrap_or(0);
         let request = String::from_utf8_lossy(&statement.id);
+        let known = self.shared.config_knowledge();
+        let sent_by = self.sent_by.as_deref();
+        let sent_version = sent_by.map_or(0, |route| route.version);
+        let service = sent_by.map_or("", |route| &route.service);
         if outcome == "done" {
             decision!(
                 "request", request = request, kind = kind, database = &*self.database,
-                version = version, took_ms = took_ms; "request done"
+                version = version, config_age_ms = known.age_ms, sent_version = sent_version,
+                service = service, took_ms = took_ms; "request done"
             );
         } else {
-            let known = self.shared.config_knowledge();
             decision!(
                 "request_failed", request = request, kind = kind, database = &*self.database,
                 version = version, in_force_ms = known.in_force_ms,
-                config_age_ms = known.age_ms, outcome = outcome, reason = reason,
-                took_ms = took_ms; "request failed"
+                config_age_ms = known.age_ms, sent_version = sent_version, service = service,
+                outcome = outcome, reason = reason, took_ms = took_ms; "request failed"
             );
         }
     }
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -99,6 +99,7 @@
                 }
             };
             let member = granted.connection.member.clone();
+            self.sent_by = Some(route.clone());
             let step = match writes {
                 true => self.try_write(&route, &autocommit, granted).await,
                 false => self.try_read(&route, &autocommit, granted).await,
--- a/src/relay/session/opening.rs
+++ b/src/relay/session/opening.rs
@@ -123,6 +123,7 @@
         setup: Rc::default(),
         prepared: BTreeMap::new(),
         transaction: None,
+        sent_by: None,
         floor: None,
         position: None,
         memory: SessionMemory::default(),
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -182,6 +182,7 @@
         arrived_us: u64,
     ) -> Reply {
         let route = transaction.route.clone();
+        self.sent_by = Some(route.clone());
         let service = &route.service;
         let member = connection.member.clone();
         let writes = is_write(statement, prepared_statement.as_deref());
@@ -257,6 +258,7 @@
         if !self.still_serves(&route, &connection) {
             return lost_account();
         }
+        self.sent_by = Some(route.clone());
         let service = &route.service;
         let member = connection.member.clone();
         let sent_us = clock::boot_us();
