Route a transaction anew until a member has begun it

Callers' first statements ran at the service that held their database when they sent BEGIN, however long ago: BEGIN is answered without a member, and the route that was looked up for it was used for the first statement and each retry.

The route and the client account are now looked up for each attempt to begin the transaction at a member, as they are for a statement outside a transaction. Nothing has run before that, so no answer of the transaction came from another service.

transaction_that_rests_before_its_first_statement_runs_by_no_old_route: two of four cases failed before (the statement ran at the old service), all four pass.

--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -277,14 +277,13 @@
         if self.transaction.is_some() {
             return Reply::error(ErrorClass::Malformed, "a transaction is open already");
         }
-        let Some(route) = self.shared.route(&self.database) else {
-            return self.no_route();
-        };
-        if let Err(reply) = self.authorize(&route) {
-            return reply;
+        match self.permit() {
+            Ok((route, _)) => {
+                self.transaction = Some(Transaction::new(route, is_read_only, arrived_us));
+                Reply::Done
+            }
+            Err(reply) => reply,
         }
-        self.transaction = Some(Transaction::new(route, is_read_only, arrived_us));
-        Reply::Done
     }
 
     async fn run_statement(&mut self, statement: &Statement, arrived_us: u64) -> Reply {
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -79,10 +79,7 @@
 
     /// Checks the caller's key against the configuration in force, and lets further
     /// statements run in the name of its account.
-    pub(super) fn authorize(
-        &mut self,
-        route: &Route,
-    ) -> std::result::Result<Option<Arc<Account>>, Reply> {
+    fn authorize(&mut self, route: &Route) -> std::result::Result<Option<Arc<Account>>, Reply> {
         let account = self.shared.account(route, &self.key);
         let account = account.map_err(|UnknownKey| self.unknown_key())?;
         let name = account.as_ref().map(|account| &account.name);
@@ -92,12 +89,21 @@
         Ok(account)
     }
 
-    /// Waits until the caller's account may run an operation.
-    pub(super) async fn admit(&mut self) -> std::result::Result<Option<Arc<Account>>, Reply> {
+    /// Route of the session, if the configuration in force lets the caller use it, and the
+    /// caller's client account.
+    pub(super) fn permit(
+        &mut self,
+    ) -> std::result::Result<(Arc<Route>, Option<Arc<Account>>), Reply> {
         let Some(route) = self.shared.route(&self.database) else {
             return Err(self.no_route());
         };
         let account = self.authorize(&route)?;
+        Ok((route, account))
+    }
+
+    /// Waits until the caller's account may run an operation.
+    pub(super) async fn admit(&mut self) -> std::result::Result<Option<Arc<Account>>, Reply> {
+        let (_, account) = self.permit()?;
         let Some(limited) = &account else {
             return Ok(None);
         };
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -70,12 +70,10 @@
         let mut failures = 0;
         loop {
             // Looked up for each attempt, so that a new configuration applies at once.
-            let Some(route) = self.shared.route(&self.database) else {
-                return self.no_route();
+            let route = match self.permit() {
+                Ok((route, _)) => route,
+                Err(reply) => return reply,
             };
-            if let Err(reply) = self.authorize(&route) {
-                return reply;
-            }
             let purpose = match self.freshness(&route, arrived_us) {
                 Some(freshness) if !writes => Purpose::Read(freshness),
                 _ => Purpose::Primary(None),
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -71,7 +71,12 @@
         let mut avoid = BTreeSet::new();
         let mut failures = 0;
         loop {
-            let route = transaction.route.clone();
+            // Until a member has begun it, no route binds the transaction.
+            let route = match self.permit() {
+                Ok((route, _)) => route,
+                Err(reply) => return reply,
+            };
+            transaction.route = route.clone();
             let begun = self
                 .begin_at_member(transaction, statement, &avoid, arrived_us)
                 .await;
--- a/src/relay/transaction.rs
+++ b/src/relay/transaction.rs
@@ -9,7 +9,7 @@
     pub began_us: u64,
     /// Whether it may only read.
     pub is_read_only: bool,
-    /// Route in force when it began.
+    /// Route in force when it began at a member, or before that when the caller began it.
     pub route: Arc<Route>,
     /// Its connection, from the first statement until its end.
     pub connection: Option<Connection>,
