Look at the route again once a statement has its connection

A statement may wait for a connection for three quarters of its route's time-out.

The route, the consistency and the client account are now compared with the configuration in force after the grant. Where they differ the connection goes back unused and the statement is routed anew, or refused if it is no longer allowed. Nothing has been sent by then.

statement_that_waits_for_a_connection_runs_by_no_old_route: all four cases failed before (a member ran the statement), all pass.

--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -101,6 +101,20 @@
         Ok((route, account))
     }
 
+    /// Whether the configuration in force still routes the session as `route` does, in the
+    /// name of the same client account.
+    pub(super) fn is_permitted_still(&self, route: &Route) -> bool {
+        let Some(current) = self.shared.route(&self.database) else {
+            return false;
+        };
+        let account = self.shared.account(&current, &self.key);
+        let is_same_account =
+            account.is_ok_and(|account| self.setup.account == account.map(|a| a.name.clone()));
+        is_same_account
+            && current.service == route.service
+            && current.consistency == route.consistency
+    }
+
     /// Waits until the caller's account may run an operation.
     pub(super) async fn admit(&mut self) -> std::result::Result<Option<Arc<Account>>, Reply> {
         let (_, account) = self.permit()?;
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -96,6 +96,11 @@
                     return refusal_reply(refusal);
                 }
             };
+            // The statement may have waited for the connection.
+            if !self.is_permitted_still(&route) {
+                self.release(&route.service, granted.connection, false, None);
+                continue;
+            }
             let member = granted.connection.member.clone();
             self.sent_by = Some(route.clone());
             let step = match writes {
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -146,6 +146,10 @@
             Ok(granted) => granted,
             Err(refusal) => return BeginOutcome::Refused(refusal_reply(refusal)),
         };
+        if !self.is_permitted_still(route) {
+            self.release(&route.service, connection, false, None);
+            return BeginOutcome::Retry("the configuration has changed");
+        }
         let member = connection.member.clone();
         let codec = &self.shared.options.codecs.member;
         let setup = self.setup.clone();
