Run nothing by an old configuration on a VM that is late itself

A VM knew the age of its configuration and looked at it only to choose between two refusals.

Certainty (decide/certainty.rs) now says in one place what a VM may do with its configuration, and each way to a member asks it: the opening of a session, BEGIN, a statement and each retry of it, the moment after a connection was granted, later statements of a transaction, COMMIT. - Newest: as before. - PlatformLost: old, and the platform has failed to answer this VM since. It runs what it allows, as before: in an outage of the store no VM knows better, and callers would lose everything. - Late: old, although no call has failed; others know better. A request waits for news for up to 300 ms, which a VM that was suspended gets within a few calls, and is then refused as busy (a transaction is rolled back). A call that ended more than 250 ms after its limit shows that the VM was late, and not that the platform is lost.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 pub mod age;
 pub mod attempt;
 pub mod barrier;
+pub mod certainty;
 pub mod claim;
 pub mod classify;
 pub mod failover;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -69,6 +69,8 @@
     pub store_calls: Counter<u64>,
     /// Version of the configuration in force.
     pub config_version: Gauge<u64>,
+    /// Requests that waited for news of the configuration, by its certainty afterwards.
+    pub config_waits: Counter<u64>,
     /// Callers that were refused because too many are connected.
     pub callers_refused: Counter<u64>,
     /// Operations of client accounts that were refused, by reason.
@@ -121,6 +123,7 @@
             task_lag_ms: meter.f64_histogram("foxtailknot_task_lag_ms").build(),
             store_calls: counter("foxtailknot_store_calls"),
             config_version: meter.u64_gauge("foxtailknot_config_version").build(),
+            config_waits: counter("foxtailknot_config_waits"),
             callers_refused: counter("foxtailknot_callers_refused"),
             account_refusals: counter("foxtailknot_account_refusals"),
             peer_bytes: counter("foxtailknot_peer_bytes"),
--- a/src/news/copies.rs
+++ b/src/news/copies.rs
@@ -4,6 +4,7 @@
 use crate::{
     clock,
     decide::{
+        certainty::ConfigAge,
         news_sources::StoreUseKind,
         revision::Revision,
         table_copy::{StoreAnswer, StoreJudge, TableCopy, TablePage},
@@ -19,6 +20,8 @@
     judge: StoreJudge,
     /// Time at which the store last confirmed the copy, in milliseconds.
     pub(super) confirmed_ms: Option<u64>,
+    /// Time at which the store last failed to answer a call about the table, in milliseconds.
+    lost_ms: Option<u64>,
 }
 
 impl Followed {
@@ -28,6 +31,7 @@
             copy: TableCopy::default(),
             judge: StoreJudge::default(),
             confirmed_ms: None,
+            lost_ms: None,
         }
     }
 }
@@ -95,11 +99,27 @@
         self.metrics.store_calls.add(1, &labels);
     }
 
-    /// Records that the store does not answer calls about a table.
-    pub(super) fn lost_store(&self, table: &str) {
+    /// Records that a call about a table failed, and whether because of the store.
+    pub(super) fn record_failed_call(&self, table: &str, is_store_lost: bool) {
         let now_ms = clock::boot_ms();
         if let Some(followed) = self.tables.borrow_mut().get_mut(table) {
             followed.confirmed_ms = followed.confirmed_ms.map(|at| at.min(now_ms));
+            if is_store_lost {
+                followed.lost_ms = Some(now_ms);
+            }
+        }
+    }
+
+    /// Age of a table that holds the configuration.
+    pub(super) fn config_age(&self, table: &str) -> ConfigAge {
+        let tables = self.tables.borrow();
+        let Some(followed) = tables.get(table) else {
+            return ConfigAge::default();
+        };
+        ConfigAge {
+            confirmed_ms: self.age_ms(table),
+            is_platform_lost: followed.lost_ms.is_some()
+                && followed.lost_ms >= followed.confirmed_ms,
         }
     }
 
--- a/src/news/hub.rs
+++ b/src/news/hub.rs
@@ -18,6 +18,7 @@
 use crate::{
     clock,
     decide::{
+        certainty::ConfigAge,
         floor_news::Floors,
         news_sources::{Sources, StoreUse, is_follower, sources, store_use, store_use_at_start},
         table_copy::TablePage,
@@ -155,9 +156,9 @@
         self.0.era.subscribe()
     }
 
-    /// Time since the store last confirmed the copy of a table, in milliseconds.
-    pub fn age_ms(&self, table: &str) -> Option<u64> {
-        self.0.age_ms(table)
+    /// Age of a table that holds the configuration.
+    pub fn config_age(&self, table: &str) -> ConfigAge {
+        self.0.config_age(table)
     }
 }
 
--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -7,8 +7,10 @@
 
 use super::{hub::Hub, options::FollowedTable};
 use crate::{
+    clock,
     decide::{
-        news_sources::{STORE_RETRY, StoreUse, StoreUseKind},
+        certainty::is_loss,
+        news_sources::{STORE_CALL_MS, STORE_RETRY, StoreUse, StoreUseKind},
         revision::Revision,
         table_copy::TablePage,
     },
@@ -74,6 +76,7 @@
             (None, StoreUse::Follow) if failures == 0 => Some(table.pace.wait_ms),
             (None, _) => Some(0),
         };
+        let asked_ms = clock::boot_ms();
         let answer = step(&hub, table.name, wait_ms, wants_whole).await;
         hub.record_store_call(table.name, way, answer.is_ok());
         match answer {
@@ -102,7 +105,9 @@
                 wants_whole = true;
             }
             Err(error) => {
-                hub.lost_store(table.name);
+                let took_ms = clock::boot_ms().saturating_sub(asked_ms);
+                let limit_ms = wait_ms.unwrap_or(0) + STORE_CALL_MS;
+                hub.record_failed_call(table.name, is_loss(took_ms, limit_ms));
                 if failures == 0 {
                     log::warn!(
                         target: "dependency", table = table.name, reason = error.to_string();
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -19,9 +19,12 @@
 };
 use crate::{
     clock,
-    decide::load::account::{Account, AccountKey},
+    decide::{
+        certainty::{Certainty, certainty},
+        load::account::{Account, AccountKey},
+    },
     decision_log::decision,
-    metrics::Metrics,
+    metrics::{Metrics, label},
     prelude::*,
 };
 
@@ -39,6 +42,9 @@
 /// milliseconds.
 const UNCERTAIN_RETRY_MS: u64 = 300;
 
+/// Interval at which a request that waits for news looks for them.
+const NEWS_POLL: Duration = Duration::from_millis(20);
+
 /// No client account holds the key of a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("no account holds the key")]
@@ -92,23 +98,59 @@
     /// What decides whether a database or key is known, for log lines.
     pub fn config_knowledge(&self) -> ConfigKnowledge {
         let version = self.version();
+        let age = (self.options.config_age)();
         let in_force_ms = clock::boot_ms().saturating_sub(self.config_since_ms.get());
         ConfigKnowledge {
             version: version.unwrap_or(0),
             in_force_ms: version.map_or(0, |_| in_force_ms),
-            age_ms: (self.options.config_age_ms)().map_or(-1, |age_ms| age_ms as i64),
+            age_ms: age.confirmed_ms.map_or(-1, |age_ms| age_ms as i64),
+        }
+    }
+
+    /// What this VM may do with the configuration in force.
+    pub fn certainty(&self) -> Certainty {
+        let age = (self.options.config_age)();
+        certainty(age, self.options.config_age_max_ms)
+    }
+
+    /// Waits for news while this VM is late; returns whether it may act on the configuration
+    /// in force. A VM that was suspended gets news within a few calls.
+    pub async fn await_certainty(&self) -> bool {
+        if self.version().is_none() || self.certainty() != Certainty::Late {
+            return true;
+        }
+        let since_ms = clock::boot_ms();
+        while self.certainty() == Certainty::Late {
+            if clock::boot_ms() >= since_ms + UNCERTAIN_RETRY_MS {
+                break;
+            }
+            compio::time::sleep(NEWS_POLL).await;
         }
+        let certainty: &'static str = self.certainty().into();
+        let labels = [label("certainty", certainty)];
+        self.metrics.config_waits.add(1, &labels);
+        let known = self.config_knowledge();
+        decision!(
+            "configuration", version = known.version, config_age_ms = known.age_ms,
+            certainty = certainty, waited_ms = clock::boot_ms() - since_ms;
+            "waited for news of the configuration"
+        );
+        self.certainty() != Certainty::Late
+    }
+
+    /// Text of the refusal of a statement while this VM is late.
+    pub fn late_text(&self) -> String {
+        format!("the configuration known here may be old; retry after {UNCERTAIN_RETRY_MS} ms")
     }
 
     /// Class and text of the refusal of a database or key that the configuration in force
     /// lacks. It is final only where that configuration is known to be the newest; otherwise
     /// another VM may know better.
     pub fn refusal(&self, class: ErrorClass, text: &str) -> (ErrorClass, String) {
-        let age_ms = (self.options.config_age_ms)();
-        let is_newest = age_ms.is_some_and(|age_ms| age_ms <= self.options.config_age_max_ms);
-        match is_newest && self.config.borrow().is_some() {
-            true => (class, text.to_owned()),
-            false => {
+        let has_config = self.config.borrow().is_some();
+        match self.certainty() {
+            Certainty::Newest if has_config => (class, text.to_owned()),
+            _ => {
                 let text = format!(
                     "{text} in the configuration known here, which may be old; \
                      retry after {UNCERTAIN_RETRY_MS} ms"
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -9,7 +9,10 @@
     attempt::{ListRead, PromoteOutcome},
     claim::{Claim, OrderRecord},
 };
-use crate::{decide::load::memory::CallerLimits, news::FloorListener, prelude::*};
+use crate::{
+    decide::certainty::ConfigAge, decide::load::memory::CallerLimits, news::FloorListener,
+    prelude::*,
+};
 
 /// Window in which the limits of client accounts hold, unless the settings name another
 /// one, in milliseconds.
@@ -73,11 +76,10 @@
     pub is_first_start: bool,
     /// Is told of each floor that this VM raises, so that other VMs can use it.
     pub on_floor: FloorListener,
-    /// Time since the platform last confirmed the configuration, in milliseconds; `None`
-    /// if it never has.
-    #[builder(default = Rc::new(|| Some(0)))]
-    pub config_age_ms: Rc<dyn Fn() -> Option<u64>>,
-    /// Longest such time for which the configuration counts as the newest, in milliseconds.
+    /// Age of the configuration.
+    #[builder(default = Rc::new(|| ConfigAge { confirmed_ms: Some(0), is_platform_lost: false }))]
+    pub config_age: Rc<dyn Fn() -> ConfigAge>,
+    /// Longest time since it was confirmed for which the configuration counts as the newest, in milliseconds.
     #[builder(default = u64::MAX)]
     pub config_age_max_ms: u64,
     /// Longest time of a graceful shutdown, in milliseconds.
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -237,7 +237,7 @@
                 ErrorClass::Malformed,
                 "the transaction failed; end it first",
             ),
-            StatementKind::Begin { is_read_only } => self.begin(*is_read_only, arrived_us),
+            StatementKind::Begin { is_read_only } => self.begin(*is_read_only, arrived_us).await,
             StatementKind::Set { name, value } => {
                 if let Err(reply) = self.grow(name.len() + value.len()) {
                     return reply;
@@ -273,11 +273,11 @@
         }
     }
 
-    fn begin(&mut self, is_read_only: bool, arrived_us: u64) -> Reply {
+    async fn begin(&mut self, is_read_only: bool, arrived_us: u64) -> Reply {
         if self.transaction.is_some() {
             return Reply::error(ErrorClass::Malformed, "a transaction is open already");
         }
-        match self.permit() {
+        match self.permit().await {
             Ok((route, _)) => {
                 self.transaction = Some(Transaction::new(route, is_read_only, arrived_us));
                 Reply::Done
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -6,7 +6,7 @@
 
 use super::*;
 use crate::{
-    decide::retry::Backoff,
+    decide::{certainty::Certainty, retry::Backoff},
     relay::{
         Access, Consistency,
         connection::Connection,
@@ -90,10 +90,13 @@
     }
 
     /// Route of the session, if the configuration in force lets the caller use it, and the
-    /// caller's client account.
-    pub(super) fn permit(
+    /// caller's client account. Waits for news while this VM is late.
+    pub(super) async fn permit(
         &mut self,
     ) -> std::result::Result<(Arc<Route>, Option<Arc<Account>>), Reply> {
+        if !self.shared.await_certainty().await {
+            return Err(Reply::Error(ErrorClass::Busy, self.shared.late_text()));
+        }
         let Some(route) = self.shared.route(&self.database) else {
             return Err(self.no_route());
         };
@@ -111,13 +114,14 @@
         let is_same_account =
             account.is_ok_and(|account| self.setup.account == account.map(|a| a.name.clone()));
         is_same_account
+            && self.shared.certainty() != Certainty::Late
             && current.service == route.service
             && current.consistency == route.consistency
     }
 
     /// Waits until the caller's account may run an operation.
     pub(super) async fn admit(&mut self) -> std::result::Result<Option<Arc<Account>>, Reply> {
-        let (_, account) = self.permit()?;
+        let (_, account) = self.permit().await?;
         let Some(limited) = &account else {
             return Ok(None);
         };
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -70,7 +70,7 @@
         let mut failures = 0;
         loop {
             // Looked up for each attempt, so that a new configuration applies at once.
-            let route = match self.permit() {
+            let route = match self.permit().await {
                 Ok((route, _)) => route,
                 Err(reply) => return reply,
             };
--- a/src/relay/session/opening.rs
+++ b/src/relay/session/opening.rs
@@ -87,6 +87,9 @@
         _ => return Ok(()),
     };
     await_configuration(shared).await;
+    if !shared.await_certainty().await {
+        return refuse(shared, writer, ErrorClass::Busy, &shared.late_text()).await;
+    }
     let Some(route) = shared.route(&database) else {
         let known = shared.config_knowledge();
         decision!(
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -30,10 +30,12 @@
         arrived_us: u64,
     ) -> Reply {
         let reply = match transaction.connection.take() {
-            Some(connection) if !self.still_serves(&transaction.route, &connection) => {
-                lost_account()
-            }
             Some(connection) => {
+                if let Err(reply) = self.check_pinned(&transaction.route, &connection).await {
+                    transaction.is_failed = true;
+                    self.transaction = Some(transaction);
+                    return reply;
+                }
                 self.run_pinned(
                     &mut transaction,
                     connection,
@@ -72,7 +74,7 @@
         let mut failures = 0;
         loop {
             // Until a member has begun it, no route binds the transaction.
-            let route = match self.permit() {
+            let route = match self.permit().await {
                 Ok((route, _)) => route,
                 Err(reply) => return reply,
             };
@@ -173,11 +175,22 @@
         BeginOutcome::Retry("the member did not begin")
     }
 
-    /// Whether the caller's key still belongs to the account of a connection.
-    fn still_serves(&self, route: &Route, connection: &Connection) -> bool {
-        match self.shared.account(route, &self.key) {
-            Ok(account) => connection.setup.account == account.map(|a| a.name.clone()),
-            Err(UnknownKey) => false,
+    /// Whether the transaction of a connection may go on: the caller's key still belongs to
+    /// its account, and this VM is not late. A change of its route applies to later
+    /// transactions only.
+    async fn check_pinned(
+        &self,
+        route: &Route,
+        connection: &Connection,
+    ) -> std::result::Result<(), Reply> {
+        if !self.shared.await_certainty().await {
+            return Err(aborted(self.shared.late_text()));
+        }
+        let account = self.shared.account(route, &self.key);
+        let name = account.map(|account| account.map(|a| a.name.clone()));
+        match name {
+            Ok(name) if name == connection.setup.account => Ok(()),
+            _ => Err(lost_account()),
         }
     }
 
@@ -264,8 +277,8 @@
             return aborted("nothing was run; the transaction is rolled back");
         };
         let route = transaction.route.clone();
-        if !self.still_serves(&route, &connection) {
-            return lost_account();
+        if let Err(reply) = self.check_pinned(&route, &connection).await {
+            return reply;
         }
         self.sent_by = Some(route.clone());
         let service = &route.service;
