Derive the pause of a follower from the bound of its table

A VM that follows the store asks it 40 ms before an outage ends and gets no answer for 1,000 ms, pauses 1,200 ms, its next call fails after 1,000 ms, it pauses 896 ms: 4,056 ms after the change, at a bound of 4 s. The pause was at most 1,200 ms whatever the bound; polls of VMs without a source have followed the bound since, those of followers did not.

The longest pause is now the one with which two calls may end in vain: 750 ms at 4 s; 6 s and more leave time for 1,200 ms.

follower_asks_again_in_time_after_an_outage_and_a_failed_call: 4,400 ms at a bound of 4 s before, 3,500 ms now.

--- a/src/decide/news_sources.rs
+++ b/src/decide/news_sources.rs
@@ -28,9 +28,9 @@
 pub const NEWS_MARGIN_MS: u64 = 700;
 /// Longest time to connect to a source, in milliseconds.
 pub const CONNECT_TIMEOUT_MS: u64 = 500;
-/// Pause before a call to the store that failed is repeated. Few VMs follow the store, so
-/// that they may ask often.
-pub const STORE_RETRY: Backoff = Backoff {
+/// Pause before a call to the store that failed is repeated, where the bound of the table
+/// leaves time for it. Few VMs follow the store, so that they may ask often.
+const STORE_RETRY: Backoff = Backoff {
     base_ms: 300,
     max_ms: 1_200,
 };
@@ -100,6 +100,9 @@
     pub retry_ms: u64,
 }
 
+/// Pause after an answer of the store that can't be used, in milliseconds.
+pub const UNUSABLE_ANSWER_PAUSE_MS: u64 = 1_200;
+
 /// Times with which changes reach every VM to which the store answers within `bound_ms`,
 /// although one call fails on their way:
 ///
@@ -121,6 +124,15 @@
     }
 }
 
+/// Pause of a VM that follows a table before it repeats a call that failed: once the store
+/// answers it again, two calls may end in vain, with a pause after each, within the bound.
+pub fn follow_retry(pace: Pace) -> Backoff {
+    Backoff {
+        max_ms: STORE_RETRY.max_ms.min(pace.retry_ms),
+        ..STORE_RETRY
+    }
+}
+
 /// Longest age of a VM's news with which it may say what does not exist, so that no such
 /// answer ignores a change of more than `bound_ms` before. A follower's news counts as
 /// confirmed until the end of its wait, which is left out.
--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -10,7 +10,9 @@
     clock,
     decide::{
         certainty::is_loss,
-        news_sources::{STORE_CALL_MS, STORE_RETRY, StoreUse, StoreUseKind},
+        news_sources::{
+            STORE_CALL_MS, StoreUse, StoreUseKind, UNUSABLE_ANSWER_PAUSE_MS, follow_retry,
+        },
         revision::Revision,
         table_copy::TablePage,
     },
@@ -86,7 +88,7 @@
                     _ => 0,
                 };
                 if !hub.apply_from_store(table.name, page, asked, next_ms) {
-                    pause(STORE_RETRY.max_ms).await;
+                    pause(UNUSABLE_ANSWER_PAUSE_MS).await;
                     continue;
                 }
                 wants_whole = false;
@@ -117,7 +119,8 @@
                 failures += 1;
                 // A VM that polls pauses before each call anyway.
                 if matches!(store_use, StoreUse::Follow) {
-                    let pause_ms = STORE_RETRY.jittered_ms(failures, &mut rand::rng());
+                    let retry = follow_retry(table.pace);
+                    let pause_ms = retry.jittered_ms(failures, &mut rand::rng());
                     compio::time::sleep(Duration::from_millis(pause_ms)).await;
                 }
             }
--- a/tests/decide_news.rs
+++ b/tests/decide_news.rs
@@ -8,8 +8,8 @@
         floor_news::{Floors, LastAnswer, OffsetFloor, floor_since},
         load::holders::VmPlace,
         news_sources::{
-            NEWS_WAIT_MS, STORE_CALL_MS, Sources, StoreUse, confirmed_ms, followers, is_follower,
-            pace, sources, store_use, store_use_at_start,
+            NEWS_WAIT_MS, STORE_CALL_MS, Sources, StoreUse, confirmed_ms, follow_retry, followers,
+            is_follower, pace, sources, store_use, store_use_at_start,
         },
         revision::Revision,
         table_copy::{PageError, StoreAnswer, StoreJudge, TableCopy, TablePage, TableRow},
@@ -317,6 +317,20 @@
     assert!(pace.wait_ms <= wait_max_ms);
 }
 
+/// A VM that follows the store: the store answers again just after a call, and the next call
+/// fails as well.
+#[parameterized(
+    short_bound = { 4_000, 3_400 },
+    middle_bound = { 6_000, 3_400 },
+    members = { 7_000, 5_400 },
+    target = { 9_000, 3_400 },
+)]
+fn follower_asks_again_in_time_after_an_outage_and_a_failed_call(bound_ms: u64, wait_max_ms: u64) {
+    let retry = follow_retry(pace(bound_ms, wait_max_ms));
+    let return_ms = 2 * (STORE_CALL_MS + retry.delay_ms(99));
+    assert!(return_ms <= bound_ms * 7 / 8, "{return_ms} ms");
+}
+
 #[parameterized(
     first_start = { true, false, 1_000, StoreUse::Leave { for_ms: 5_000 } },
     first_start_without_a_list = { true, false, 6_000, StoreUse::Follow },
--- a/tests/news_orderings/main.rs
+++ b/tests/news_orderings/main.rs
@@ -55,6 +55,15 @@
     );
 }
 
+/// A follower whose call is lost at the end of an outage, and whose next call fails.
+#[test]
+fn follower_is_not_late_after_an_outage_and_a_failed_call() {
+    let (seed, per_zone) = (188, 8);
+    let faults = Faults::draw(seed, per_zone, Fault::ALL);
+    let late = World::new(seed, per_zone, 4_000, faults).play(Owed::InTouch);
+    assert!(late.is_none(), "{late:?}");
+}
+
 /// VMs that lose the store and whose sources lose it too turn to others that hear.
 #[parameterized(
     few = { 8 },
--- a/tests/news_orderings/store_reader.rs
+++ b/tests/news_orderings/store_reader.rs
@@ -1,6 +1,6 @@
 //! A VM that reads a table of the store, as `news/store_source.rs` does.
 
-use foxtailknot::decide::news_sources::{STORE_CALL_MS, STORE_RETRY, StoreUse, store_use};
+use foxtailknot::decide::news_sources::{STORE_CALL_MS, StoreUse, follow_retry, store_use};
 use rand::{Rng, rngs::StdRng};
 
 use crate::{faults::StoreState, world::World};
@@ -119,7 +119,7 @@
             state.reader.failures += 1;
             let failures = state.reader.failures;
             let pause_ms = match follows {
-                true => STORE_RETRY.jittered_ms(failures, &mut self.rng),
+                true => follow_retry(self.pace).jittered_ms(failures, &mut self.rng),
                 false => 0,
             };
             self.vms[vm].reader.state = State::Pausing {
