Take older answers of the store for a loss of the platform

A store that answers with older versions than a copy holds, without saying that it came back from one, is not believed for 15 s, and no call fails meanwhile. Since requests wait for news on a VM that is late itself, such VMs would refuse all of them; but it is the platform that confirms nothing, and they go on with what they know, as before.

older_answers_show_that_the_platform_is_lost fails without the line.

--- a/src/news/store_source.rs
+++ b/src/news/store_source.rs
@@ -88,6 +88,7 @@
                     _ => 0,
                 };
                 if !hub.apply_from_store(table.name, page, asked, next_ms) {
+                    hub.record_failed_call(table.name, true);
                     pause(UNUSABLE_ANSWER_PAUSE_MS).await;
                     continue;
                 }
