Keep the floor of a session for the service that has the commit

A session that had written read no more once its database moved to another service: the position of its last commit, which is one of the old service's log, was asked of the members of the new one, which never reach it. Each read was refused as busy until the session ended.

The floor now carries its service and holds for reads there only.

--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -83,9 +83,9 @@
     transaction: Option<Transaction>,
     /// Route by which the statement in progress was sent to a member.
     sent_by: Option<Arc<Route>>,
-    /// Position of the session's last acknowledged commit: the floor of its reads
-    /// on a route with read-your-writes consistency.
-    floor: Option<Position>,
+    /// Position of the session's last acknowledged commit, and the service that has it: the
+    /// floor of its reads there on a route with read-your-writes consistency.
+    floor: Option<(Name, Position)>,
     /// Position reported to the caller with each answer.
     position: Option<Position>,
     /// Memory of its variables and prepared statements.
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -67,7 +67,11 @@
         let (max_staleness_ms, floor) = match route.consistency {
             Consistency::Primary => return None,
             Consistency::Bounded { max_staleness_ms } => (max_staleness_ms, None),
-            Consistency::ReadYourWrites { max_staleness_ms } => (max_staleness_ms, self.floor),
+            Consistency::ReadYourWrites { max_staleness_ms } => {
+                let floor = self.floor.as_ref();
+                let floor = floor.filter(|(service, _)| *service == route.service);
+                (max_staleness_ms, floor.map(|(_, position)| *position))
+            }
         };
         let since_ms = (arrived_us / 1_000).saturating_sub(max_staleness_ms);
         Some(Freshness {
@@ -296,7 +300,10 @@
             service = &*route.service, member = &**member, position = position.to_string();
             "commit acknowledged"
         );
-        self.floor = self.floor.max(Some(position));
+        let floor = self.floor.take();
+        let floor = floor.filter(|(service, _)| *service == route.service);
+        let before = floor.map_or(position, |(_, before)| before);
+        self.floor = Some((route.service.clone(), position.max(before)));
         if self.shared.sync_replicas(&route.service) > 0 {
             let since_ms = sent_us / 1_000;
             self.send(
