--- a/src/decide/certainty.rs
+++ b/src/decide/certainty.rs
@@ -1,11 +1,14 @@
 //! Whether a VM may act on its configuration, which may be old.
 
+/// Time by which a timer may fire late on a VM that is not late itself, in milliseconds.
+const TIMER_MARGIN_MS: u64 = 250;
+
 /// What a VM knows of the age of its configuration.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ConfigAge {
     /// Time since the platform last confirmed that it is the newest, in milliseconds; `None`
     /// if it never has.
-    pub confirmed_ms: Option<u64>,
+    pub age_ms: Option<u64>,
     /// Whether the platform has failed to answer this VM since then.
     pub is_platform_lost: bool,
 }
@@ -20,15 +23,15 @@
     /// since no VM may know better, and refuses the rest for now.
     PlatformLost,
     /// It may be old although the platform has not failed to answer: this VM was suspended,
-    /// or its processor is full. Others know better, and it runs nothing.
+    /// or its processor is full. It runs nothing, as other VMs know better.
     Late,
 }
 
-/// What a VM may do with a configuration that counts as the newest for `max_ms` after it was
-/// confirmed.
+/// What a VM may do with a configuration that counts as the newest for `max_ms` after the
+/// platform confirmed it.
 pub fn certainty(age: ConfigAge, max_ms: u64) -> Certainty {
-    match age.confirmed_ms {
-        Some(confirmed_ms) if confirmed_ms <= max_ms => Certainty::Newest,
+    match age.age_ms {
+        Some(age_ms) if age_ms <= max_ms => Certainty::Newest,
         _ if age.is_platform_lost => Certainty::PlatformLost,
         _ => Certainty::Late,
     }
@@ -37,8 +40,5 @@
 /// Whether a call that failed after `took_ms` shows that the other side did not answer within
 /// `limit_ms`. One that ended much later shows that this VM itself was late.
 pub fn is_loss(took_ms: u64, limit_ms: u64) -> bool {
-    took_ms <= limit_ms + LATE_MS
+    took_ms <= limit_ms + TIMER_MARGIN_MS
 }
-
-/// Time by which a timer may fire late on a VM that is not late itself, in milliseconds.
-const LATE_MS: u64 = 250;
--- a/src/decide/news_sources.rs
+++ b/src/decide/news_sources.rs
@@ -34,6 +34,8 @@
     base_ms: 300,
     max_ms: 1_200,
 };
+/// Pause after an answer of the store that can't be used, in milliseconds.
+pub const UNUSABLE_ANSWER_PAUSE_MS: u64 = 1_200;
 /// Pause before a source that failed is asked again.
 const SOURCE_BACKOFF: Backoff = Backoff {
     base_ms: 1_000,
@@ -100,9 +102,6 @@
     pub retry_ms: u64,
 }
 
-/// Pause after an answer of the store that can't be used, in milliseconds.
-pub const UNUSABLE_ANSWER_PAUSE_MS: u64 = 1_200;
-
 /// Times with which changes reach every VM to which the store answers within `bound_ms`,
 /// although one call fails on their way:
 ///
--- a/src/news/copies.rs
+++ b/src/news/copies.rs
@@ -120,7 +120,7 @@
             return ConfigAge::default();
         };
         ConfigAge {
-            confirmed_ms: self.age_ms(table),
+            age_ms: self.age_ms(table),
             is_platform_lost: followed.lost_ms.is_some()
                 && followed.lost_ms >= followed.confirmed_ms,
         }
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -38,8 +38,8 @@
 /// Part of the grace period that is kept for the exit of the process.
 const STOP_RESERVE_MS: u64 = 800;
 
-/// Time after which a caller should ask another VM for what this one does not know, in
-/// milliseconds.
+/// Time for which a request waits for news of the configuration, and after which a caller
+/// should ask another VM for what this one does not know, in milliseconds.
 const UNCERTAIN_RETRY_MS: u64 = 300;
 
 /// Interval at which a request that waits for news looks for them.
@@ -103,7 +103,7 @@
         ConfigKnowledge {
             version: version.unwrap_or(0),
             in_force_ms: version.map_or(0, |_| in_force_ms),
-            age_ms: age.confirmed_ms.map_or(-1, |age_ms| age_ms as i64),
+            age_ms: age.age_ms.map_or(-1, |age_ms| age_ms as i64),
         }
     }
 
--- a/src/relay/options.rs
+++ b/src/relay/options.rs
@@ -10,7 +10,8 @@
     claim::{Claim, OrderRecord},
 };
 use crate::{
-    decide::certainty::ConfigAge, decide::load::memory::CallerLimits, news::FloorListener,
+    decide::{certainty::ConfigAge, load::memory::CallerLimits},
+    news::FloorListener,
     prelude::*,
 };
 
@@ -77,9 +78,9 @@
     /// Is told of each floor that this VM raises, so that other VMs can use it.
     pub on_floor: FloorListener,
     /// Age of the configuration.
-    #[builder(default = Rc::new(|| ConfigAge { confirmed_ms: Some(0), is_platform_lost: false }))]
+    #[builder(default = Rc::new(|| ConfigAge { age_ms: Some(0), is_platform_lost: false }))]
     pub config_age: Rc<dyn Fn() -> ConfigAge>,
-    /// Longest time since it was confirmed for which the configuration counts as the newest, in milliseconds.
+    /// Longest age with which the configuration counts as the newest, in milliseconds.
     #[builder(default = u64::MAX)]
     pub config_age_max_ms: u64,
     /// Longest time of a graceful shutdown, in milliseconds.
--- a/tests/decide_certainty.rs
+++ b/tests/decide_certainty.rs
@@ -14,12 +14,12 @@
     never_confirmed = { None, false, Certainty::Late },
 )]
 fn old_configuration_is_acted_on_only_while_the_platform_is_lost(
-    confirmed_ms: Option<u64>,
+    age_ms: Option<u64>,
     is_platform_lost: bool,
     expected: Certainty,
 ) {
     let age = ConfigAge {
-        confirmed_ms,
+        age_ms,
         is_platform_lost,
     };
     assert_eq!(certainty(age, MAX_MS), expected);
