--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -140,8 +140,13 @@
 /// Values that each of them sets, in trouble and in calm.
 const VALUES: [usize; 2] = [1_150, 4];
 
+/// Machines, and times that their processes are pressed: the rule counts processes that end
+/// three times on two machines.
+const MACHINES: u32 = 2;
+const ROUNDS_OF_VALUES: usize = 3;
+
 /// Many sessions set many short values, one after the other. Each VM has to stay within its
-/// machine's memory; the platform ends one that does not.
+/// machine's memory; the platform kills one that does not, and starts it again.
 pub fn values(stage: &Stage) -> bool {
     let store = Store::start(&ip(1));
     let group = stage.group("ledger", Habits::default());
@@ -149,12 +154,32 @@
     store.put("op", "config", &manifest(1, &[("orders", "ledger", "primary")], &["ledger"]));
     stage.list(&store, &[&group]);
     let memory = MEMORY_MB.to_string();
-    let mut vm = stage.start(1, &store, &promotions, &[("limits.memory_mb", &memory)]);
-    await_database(&vm, "orders", &stage.record);
-    let mut ordinary = Client::open(vm.callers, "orders", "ordinary", Some(&stage.record)).expect("opened");
+    let start = |number, bootstrap| {
+        let changed = [("limits.memory_mb", &*memory), ("bootstrap", bootstrap)];
+        stage.start(number, &store, &promotions, &changed)
+    };
+    let mut vms: Vec<Vm> = (1..=MACHINES).map(|number| start(number, "true")).collect();
+    let mut ends = vec![0; vms.len()];
+    for round in 0..ROUNDS_OF_VALUES {
+        for index in 0..vms.len() {
+            await_database(&vms[index], "orders", &stage.record);
+            if press_values(stage, &mut vms[index], &format!("round {round}, front-{}", index + 1)) {
+                ends[index] += 1;
+                vms[index] = start(index as u32 + 1, "false");
+            }
+        }
+    }
+    stage.record.say(&format!("processes ended over their memory, by machine: {ends:?}"));
+    let counted = ends.iter().filter(|ends| **ends >= ROUNDS_OF_VALUES).count();
+    counted < MACHINES as usize
+}
+
+/// Presses one VM; whether the platform killed it.
+fn press_values(stage: &Stage, vm: &mut Vm, what: &str) -> bool {
+    let opened = Client::open(vm.callers, "orders", "ordinary", Some(&stage.record));
+    let mut ordinary = opened.expect("opened");
     ordinary.expect("READ before");
     let before_kb = vm.memory_kb();
-    stage.record.say(&format!("memory before: {before_kb} KiB"));
     let values = VALUES[usize::from(!stage.has_trouble)];
     let (set, refused) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let is_over = Arc::new(AtomicBool::new(false));
@@ -182,41 +207,34 @@
             })
         })
         .collect();
-    let mut highest_kb = 0;
-    let mut steady = 0;
-    let mut last = usize::MAX;
+    let (mut highest_kb, mut steady, mut last) = (0, 0, usize::MAX);
     let mut was_killed = false;
-    while steady < 20 {
+    while steady < 20 && !was_killed {
         thread::sleep(Duration::from_millis(50));
         let memory_kb = vm.memory_kb();
         highest_kb = memory_kb.max(highest_kb);
         if memory_kb > MEMORY_MB << 10 {
-            stage.record.say(&format!(
-                "memory {memory_kb} KiB, over {MEMORY_MB} MiB, after {} values of {CROWD} sessions: \
-                 the platform kills the process",
-                set.load(Ordering::Relaxed)
-            ));
             vm.kill();
             was_killed = true;
-            break;
         }
         let done = set.load(Ordering::Relaxed) + refused.load(Ordering::Relaxed);
         steady = if done == last { steady + 1 } else { 0 };
         last = done;
     }
     let is_served = ordinary.query("READ after").is_ok_and(|answer| answer.error.is_none());
-    let is_running = vm.is_running();
     stage.record.say(&format!(
-        "highest memory: {highest_kb} KiB; values set: {}; refused: {}; runs: {is_running}; \
-         ordinary client served afterwards: {is_served}",
+        "{what}: memory {before_kb} KiB before, {highest_kb} KiB at most, limit {} KiB; values set \
+         by {CROWD} sessions: {}; refused: {}; killed: {was_killed}; ordinary client served \
+         afterwards: {is_served}",
+        MEMORY_MB << 10,
         set.load(Ordering::Relaxed),
         refused.load(Ordering::Relaxed)
     ));
     is_over.store(true, Ordering::Relaxed);
     for member in crowd {
-        let _ = member.join();
+        member.join().expect("ended");
     }
-    !was_killed && is_running && is_served
+    was_killed
 }
 
 /// Lag of the replicas while they fall behind.
@@ -370,3 +388,83 @@
     let (sent, served) = press(&vms, COUNT_TIME, "after the bound", &stage.record);
     served * 4 >= sent
 }
+
+/// Bytes of a prepared statement, in trouble and in calm.
+const SHAPE_BYTES: [usize; 2] = [200 << 10, 100];
+/// Sessions at each VM, one after the other.
+const SESSIONS: usize = 200;
+/// VMs whose callers prepare statements.
+const PREPARING: usize = 8;
+
+/// Sessions come one after the other; each prepares a large statement, runs it and ends. A VM
+/// that holds connections for others has to stay within its machine's memory.
+pub fn shapes(stage: &Stage) -> bool {
+    let store = Store::start(&ip(1));
+    let group = stage.group("ledger", Habits::default());
+    let promotions = stage.promotions(&[&group]);
+    store.put("op", "config", &manifest(1, &[("orders", "ledger", "primary")], &["ledger"]));
+    stage.list(&store, &[&group]);
+    let memory = MEMORY_MB.to_string();
+    let mut vms: Vec<Vm> = (1..=VMS)
+        .map(|number| stage.start(number, &store, &promotions, &[("limits.memory_mb", &memory)]))
+        .collect();
+    for vm in &vms {
+        await_database(vm, "orders", &stage.record);
+    }
+    let bytes = SHAPE_BYTES[usize::from(!stage.has_trouble)];
+    let is_over = Arc::new(AtomicBool::new(false));
+    let run = Arc::new(AtomicUsize::new(0));
+    let sessions: Vec<_> = vms[..PREPARING]
+        .iter()
+        .enumerate()
+        .map(|(number, vm)| {
+            let (address, is_over, run) = (vm.callers, is_over.clone(), run.clone());
+            thread::spawn(move || {
+                for index in 0..SESSIONS {
+                    if is_over.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let shape = format!("shape-{number}-{index}-{}", "x".repeat(bytes));
+                    let opened = Client::open(address, "orders", "preparing", None);
+                    let ran = opened.and_then(|mut client| {
+                        client.query(&format!("PREPARE s READ {shape}"))?;
+                        client.query("EXECUTE s item")
+                    });
+                    if ran.is_ok_and(|answer| answer.error.is_none()) {
+                        run.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            })
+        })
+        .collect();
+    let mut highest = vec![0; vms.len()];
+    let mut killed = None;
+    while killed.is_none() && sessions.iter().any(|session| !session.is_finished()) {
+        thread::sleep(Duration::from_millis(50));
+        for (number, vm) in vms.iter_mut().enumerate() {
+            let memory_kb = vm.memory_kb();
+            highest[number] = memory_kb.max(highest[number]);
+            if memory_kb > MEMORY_MB << 10 {
+                stage.record.say(&format!(
+                    "front-{}: memory {memory_kb} KiB, over {MEMORY_MB} MiB, after {} statements \
+                     at all VMs: the platform kills the process",
+                    number + 1,
+                    run.load(Ordering::Relaxed)
+                ));
+                vm.kill();
+                killed = Some(number);
+                break;
+            }
+        }
+    }
+    is_over.store(true, Ordering::Relaxed);
+    for session in sessions {
+        session.join().expect("ended");
+    }
+    let are_running = vms.iter_mut().all(Vm::is_running);
+    stage.record.say(&format!(
+        "statements run: {}; highest memory by VM, KiB: {highest:?}; all run: {are_running}",
+        run.load(Ordering::Relaxed)
+    ));
+    killed.is_none() && are_running
+}
--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -153,7 +153,8 @@
     group: Arc<Group>,
     index: usize,
     values: BTreeMap<String, String>,
-    prepared: BTreeMap<String, (bool, String)>,
+    /// Whether each prepared statement writes.
+    prepared: BTreeMap<String, bool>,
     /// Writes of the open transaction.
     transaction: Option<BTreeMap<String, String>>,
     has_failed: bool,
@@ -327,9 +328,8 @@
                 self.values.insert((*name).into(), value);
                 Outcome::Rows(Vec::new())
             }
-            ("PREPARE", Some(name), Some(access), Some(shape)) => {
-                let prepared = (*access == "WRITE", (*shape).into());
-                self.prepared.insert((*name).into(), prepared);
+            ("PREPARE", Some(name), Some(access), Some(_)) => {
+                self.prepared.insert((*name).into(), *access == "WRITE");
                 Outcome::Rows(Vec::new())
             }
             ("BEGIN", read, ..) => match read.is_none() && !self.is_primary() {
@@ -354,8 +354,8 @@
             ("WRITE", Some(item), data, _) => self.write(item, data.unwrap_or(&"")),
             ("EXECUTE", Some(name), Some(item), data) => match self.prepared.get(*name) {
                 None => Outcome::Error("NOSTMT"),
-                Some((true, _)) => self.write(item, data.unwrap_or(&"")),
-                Some((false, _)) => self.read(item),
+                Some(true) => self.write(item, data.unwrap_or(&"")),
+                Some(false) => self.read(item),
             },
             _ => Outcome::Error("MALFORMED"),
         };
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -62,6 +62,7 @@
         match case {
             "values" => cases::values(&stage),
             "moves" => cases::moves(&stage),
+            "shapes" => cases::shapes(&stage),
             "answers" => cases::answers(&stage),
             _ => panic!("no such case"),
         }
