--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     client::Client,
-    group::{CONNECTIONS_MAX, Group, Habits},
+    group::{CONNECTIONS_MAX, Group, Habits, OWNER},
     platform::{Promotions, Store},
     record::Record,
     vm::{Fields, Vm, fields},
@@ -468,3 +468,48 @@
     ));
     killed.is_none() && are_running
 }
+
+/// Sessions with different values.
+const OWNERS: u16 = 8;
+/// Time in which the primary fails part of its requests.
+const FAILURE_TIME: Duration = Duration::from_millis(6_500);
+
+/// Sessions set a value each, and run reads and writes on shared connections while the primary
+/// fails part of its requests. Statements must run with the values of their sessions.
+pub fn setup(stage: &Stage) -> bool {
+    let store = Store::start(&ip(1));
+    let group = stage.group("ledger", Habits::default());
+    let promotions = stage.promotions(&[&group]);
+    store.put("op", "config", &manifest(1, &[("orders", "ledger", "primary")], &["ledger"]));
+    stage.list(&store, &[&group]);
+    let vm = stage.start(1, &store, &promotions, &[]);
+    await_database(&vm, "orders", &stage.record);
+    group.fail(stage.has_trouble);
+    let until = Instant::now() + FAILURE_TIME;
+    let sessions: Vec<_> = (1..=OWNERS)
+        .map(|owner| {
+            let (address, record) = (vm.callers, stage.record.clone());
+            thread::spawn(move || {
+                let name = format!("owner-{owner}");
+                let mut client = Client::open(address, "orders", &name, Some(&record)).expect("opened");
+                client.expect(&format!("SET {OWNER} {owner:04x}"));
+                client.owner = owner;
+                while Instant::now() < until {
+                    for text in [format!("WRITE item{owner} data"), format!("READ item{owner}")] {
+                        client.query(&text).expect("answered");
+                        thread::sleep(Duration::from_millis(10));
+                    }
+                }
+            })
+        })
+        .collect();
+    for session in sessions {
+        session.join().expect("ended");
+    }
+    let (failed, foreign) = group.fail(false);
+    stage.record.say(&format!(
+        "requests that the primary failed: {failed}; statements that ran with the value of \
+         another session: {foreign}"
+    ));
+    foreign == 0
+}
