--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -63,7 +63,7 @@
             "values" => cases::values(&stage),
             "moves" => cases::moves(&stage),
             "shapes" => cases::shapes(&stage),
-            "setup" => cases::setup(&stage),
+            "names" => cases::names(&stage),
             "answers" => cases::answers(&stage),
             _ => panic!("no such case"),
         }
