--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -16,6 +16,7 @@
 const RECEIVE_TIME: Duration = Duration::from_millis(1);
 
 struct Commit {
+    term: u64,
     at: Instant,
     items: BTreeMap<String, String>,
 }
@@ -43,6 +44,12 @@
     lost: usize,
     /// Open connections to each member.
     connections: Vec<usize>,
+    /// Terms for which replicas receive nothing; zero if they receive.
+    held: Vec<u64>,
+    /// Commits that each member has received.
+    received: Vec<usize>,
+    /// Whether the primary of the term has stepped down.
+    has_stepped_down: bool,
 }
 
 /// A member.
@@ -86,6 +93,9 @@
                 loses_answers: false,
                 lost: 0,
                 connections: vec![0; 3],
+                held: vec![0; 3],
+                received: vec![0; 3],
+                has_stepped_down: false,
             }),
             record: record.clone(),
         });
@@ -123,8 +133,13 @@
             return 409;
         };
         let mut state = self.state.lock().expect("state");
-        if state.primary != index {
+        if state.primary != index || state.has_stepped_down {
             (state.term, state.primary) = (state.term + 1, index);
+            // What it has not received is rolled back; all others follow it.
+            let kept = state.received[index];
+            state.log.truncate(kept);
+            state.received = vec![kept; 3];
+            (state.held, state.has_stepped_down) = (vec![0; 3], false);
             self.record.line(&format!("promotion service={} member={id}", self.service));
         }
         200
@@ -245,11 +260,12 @@
             return state.log.len();
         }
         let now = Instant::now();
-        state.log.iter().take_while(|commit| commit.at + state.lag <= now).count()
+        state.log.iter().take(state.received[self.index]).take_while(|commit| commit.at + state.lag <= now).count()
     }
 
     fn is_primary(&self) -> bool {
-        self.group.state.lock().expect("state").primary == self.index
+        let state = self.group.state.lock().expect("state");
+        state.primary == self.index && !state.has_stepped_down
     }
 
     fn ready(&self) -> String {
@@ -316,7 +332,11 @@
         }
         let outcome = match (words[0], words.get(1), words.get(2), words.get(3)) {
             ("STATUS", ..) => return self.status(),
-            ("PAUSE" | "RESUME" | "STEPDOWN", ..) => return self.status(),
+            ("PAUSE" | "RESUME" | "STEPDOWN", term, ..) => {
+                let term = term.and_then(|term| term.parse().ok()).unwrap_or(0);
+                self.obey(words[0], term);
+                return self.status();
+            }
             ("RESET", ..) => {
                 self.values.clear();
                 self.prepared.clear();
@@ -365,14 +385,32 @@
         outcome
     }
 
+    /// Carries out an order of a takeover.
+    fn obey(&self, order: &str, term: u64) {
+        let is_primary = self.is_primary();
+        let mut state = self.group.state.lock().expect("state");
+        let is_later = term > state.term;
+        match order {
+            "PAUSE" if is_later && !is_primary => state.held[self.index] = term,
+            "RESUME" => {
+                state.held[self.index] = 0;
+                state.received[self.index] = state.log.len();
+            }
+            "STEPDOWN" if is_later && is_primary => state.has_stepped_down = true,
+            _ => {}
+        }
+        self.group.record.line(&format!("order {order} {term} member={}", self.index));
+    }
+
     fn status(&self) -> Outcome {
         let role = if self.is_primary() { "primary" } else { "replica" };
         let state = self.group.state.lock().expect("state");
         Outcome::Rows(vec![format!(
-            "{role} {} {}.{} 0 {} 0 {}",
+            "{role} {} {}.{} {} {} 0 {}",
             state.term,
-            state.term,
-            state.log.len(),
+            state.log[..state.received[self.index]].last().map_or(state.term, |c| c.term),
+            state.received[self.index],
+            state.held[self.index],
             state.lag.as_millis(),
             state.connections[self.index]
         )])
@@ -406,9 +444,32 @@
         if !self.is_primary() {
             return Outcome::Error("READONLY");
         }
-        let at = Instant::now();
-        self.group.state.lock().expect("state").log.push(Commit { at, items });
+        let number = {
+            let mut state = self.group.state.lock().expect("state");
+            let (term, at) = (state.term, Instant::now());
+            state.log.push(Commit { term, at, items });
+            let number = state.log.len();
+            for index in 0..state.received.len() {
+                if index == state.primary || state.held[index] == 0 {
+                    state.received[index] = number;
+                }
+            }
+            number
+        };
         thread::sleep(RECEIVE_TIME);
+        // It is confirmed once a replica has received it.
+        loop {
+            let state = self.group.state.lock().expect("state");
+            let replicas = (0..state.received.len()).filter(|index| *index != state.primary);
+            if replicas.into_iter().any(|index| state.received[index] >= number) {
+                break;
+            }
+            if state.primary != self.index || state.has_stepped_down {
+                return Outcome::Error("FAILED");
+            }
+            drop(state);
+            thread::sleep(RECEIVE_TIME);
+        }
         Outcome::Rows(Vec::new())
     }
 }
