Keep a session's floor for each service that it has committed at

Cause: a session kept the position of its last commit for one service only. A commit at another service replaced it, so that a read after the return was only as fresh as max_staleness_ms asks. Ruled out: the move alone (without a commit elsewhere the reads are right before the change as well, case no_commit), and the members' check of AFTER (the VM did not send it: `after=0` in the record).

Change: SessionFloors keeps a position for each service, for 8 services at most. Beyond that the time of the commit stands for its position: reads at a service without one must see all that was acknowledged up to then. A read that no known floor is new enough for asks for one at once; before, this waited until the floor was due by age. The log line `read routed` has the session's floor in place of whether there is one.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -22,5 +22,6 @@
 pub mod revision;
 pub mod rollout;
 pub mod route;
+pub mod session_floors;
 pub mod table_copy;
 pub mod takeover;
--- a/src/relay/message.rs
+++ b/src/relay/message.rs
@@ -16,7 +16,7 @@
 pub struct Freshness {
     /// The log must hold all that was acknowledged before this time, in milliseconds.
     pub since_ms: u64,
-    /// Position that the session has reached, which the log must hold as well.
+    /// Position of the session's last commit at the service, which the log must hold as well.
     pub floor: Option<Position>,
     /// Greatest staleness allowed, in milliseconds.
     pub max_staleness_ms: u64,
--- a/src/relay/service/grant.rs
+++ b/src/relay/service/grant.rs
@@ -31,10 +31,13 @@
         if let Some(freshness) = acquire.purpose.freshness() {
             let newest_ms = self.ages.newest_ms().unwrap_or(0);
             let age_ms = clock::boot_ms().saturating_sub(newest_ms);
-            if is_floor_due(age_ms, freshness.max_staleness_ms, self.has_member_behind()) {
+            let is_due = is_floor_due(age_ms, freshness.max_staleness_ms, self.has_member_behind());
+            // A session's own commits may require a floor that is newer than any known one.
+            let is_missing = self.ages.floor(freshness.since_ms).is_none();
+            if is_due || is_missing {
                 self.refresh_floor();
             }
-            if self.ages.floor(freshness.since_ms).is_none() {
+            if is_missing {
                 return self.wait_for_floor(acquire);
             }
         }
@@ -132,7 +135,8 @@
             service = &*self.context.service, member = &*chosen.member,
             is_primary = chosen.is_primary, is_behind = chosen.is_behind,
             mean_ms = chosen.mean_ms as u64, in_use = chosen.in_use,
-            waiting = chosen.waiting, has_written = freshness.floor.is_some(),
+            waiting = chosen.waiting,
+            session_floor = freshness.floor.map(|floor| floor.to_string()).unwrap_or_default(),
             floor = self.ages.floor(freshness.since_ms).unwrap_or_default().to_string(),
             since_ms = freshness.since_ms, floor_age_ms = now_ms.saturating_sub(self.ages.newest_ms().unwrap_or(0));
             "read routed"
--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -30,9 +30,12 @@
 };
 use crate::{
     clock,
-    decide::load::{
-        account::{Account, AccountKey},
-        memory::CallerPhase,
+    decide::{
+        load::{
+            account::{Account, AccountKey},
+            memory::CallerPhase,
+        },
+        session_floors::SessionFloors,
     },
     decision_log::decision,
     metrics::label,
@@ -83,9 +86,9 @@
     transaction: Option<Transaction>,
     /// Route by which the statement in progress was sent to a member.
     sent_by: Option<Arc<Route>>,
-    /// Position of the session's last acknowledged commit, and the service that has it: the
-    /// floor of its reads there on a route with read-your-writes consistency.
-    floor: Option<(Name, Position)>,
+    /// The session's acknowledged commits, which its reads see on a route with read-your-writes
+    /// consistency.
+    floors: SessionFloors,
     /// Position reported to the caller with each answer.
     position: Option<Position>,
     /// Memory of its variables and prepared statements.
--- a/src/relay/session/attempt.rs
+++ b/src/relay/session/attempt.rs
@@ -6,7 +6,7 @@
 
 use super::*;
 use crate::{
-    decide::{certainty::Certainty, retry::Backoff},
+    decide::{certainty::Certainty, retry::Backoff, session_floors::SessionFloor},
     relay::{
         Access, Consistency,
         connection::Connection,
@@ -66,17 +66,17 @@
     pub(super) fn freshness(&self, route: &Route, arrived_us: u64) -> Option<Freshness> {
         let (max_staleness_ms, floor) = match route.consistency {
             Consistency::Primary => return None,
-            Consistency::Bounded { max_staleness_ms } => (max_staleness_ms, None),
+            Consistency::Bounded { max_staleness_ms } => {
+                (max_staleness_ms, SessionFloor::default())
+            }
             Consistency::ReadYourWrites { max_staleness_ms } => {
-                let floor = self.floor.as_ref();
-                let floor = floor.filter(|(service, _)| *service == route.service);
-                (max_staleness_ms, floor.map(|(_, position)| *position))
+                (max_staleness_ms, self.floors.at(&route.service))
             }
         };
         let since_ms = (arrived_us / 1_000).saturating_sub(max_staleness_ms);
         Some(Freshness {
-            since_ms: since_ms + ROUNDING_MS,
-            floor,
+            since_ms: since_ms.max(floor.since_ms) + ROUNDING_MS,
+            floor: floor.position,
             max_staleness_ms,
         })
     }
@@ -300,10 +300,8 @@
             service = &*route.service, member = &**member, position = position.to_string();
             "commit acknowledged"
         );
-        let floor = self.floor.take();
-        let floor = floor.filter(|(service, _)| *service == route.service);
-        let before = floor.map_or(position, |(_, before)| before);
-        self.floor = Some((route.service.clone(), position.max(before)));
+        self.floors
+            .record(&route.service, position, clock::boot_ms());
         if self.shared.sync_replicas(&route.service) > 0 {
             let since_ms = sent_us / 1_000;
             self.send(
--- a/src/relay/session/opening.rs
+++ b/src/relay/session/opening.rs
@@ -127,7 +127,7 @@
         prepared: BTreeMap::new(),
         transaction: None,
         sent_by: None,
-        floor: None,
+        floors: SessionFloors::default(),
         position: None,
         memory: SessionMemory::default(),
     };
--- a/tests/decide_relay.rs
+++ b/tests/decide_relay.rs
@@ -17,6 +17,7 @@
         load::holders::{ConnectionSupply, MemberPath, VmPlace, holders, member_paths},
         load::window::Window,
         retry::Backoff,
+        session_floors::{SERVICES_MAX, SessionFloors},
         takeover::{
             Candidate, Choice, Fenced, Knowledge, PrimaryHealth, Reason, StuckCommit,
             TakeoverSettings, WaitReason, choose, replacement_reason,
@@ -74,6 +75,30 @@
     assert_eq!(floor, expected);
 }
 
+/// A session that commits at ever more services keeps a bounded number of positions, and the
+/// time of a commit stands for the position that it gave up.
+#[test]
+fn session_keeps_few_positions_and_loses_no_commit() {
+    let mut floors = SessionFloors::default();
+    let name = |number: u64| Name::from(format!("s{number}"));
+    for number in 1..=1_000 {
+        floors.record(&name(number), at(1, number), 10 * number);
+    }
+    let kept = (1..=1_000).filter(|number| floors.at(&name(*number)).position.is_some());
+    assert_eq!(kept.count(), SERVICES_MAX);
+    for number in 1..=1_000 {
+        let floor = floors.at(&name(number));
+        let is_covered = floor.since_ms > 10 * number;
+        assert!(
+            floor.position == Some(at(1, number)) || is_covered,
+            "{number}"
+        );
+    }
+    floors.record(&name(1), at(1, 2_000), 20_000);
+    floors.record(&name(1), at(1, 1_500), 20_001);
+    assert_eq!(floors.at(&name(1)).position, Some(at(1, 2_000)));
+}
+
 /// The oldest observation that is recent enough gives the lowest floor.
 #[test]
 fn floor_of_an_age() {
