Keep the settings of a service that the configuration has dropped

Callers saw: a transaction whose service was removed from the configuration before its COMMIT got a success from a primary that had been replaced meanwhile.

Cause: the number of synchronous replicas was looked up in the configuration in force. For a service that it lacks this gave zero, which means that commits need no confirmation, so that the other members were not asked whether one of them leads. The service's task, its members and its pinned connections stay, and so do commits.

Change: the settings of a service stay beside the mailbox of its task, as last configured.

commit_at_a_replaced_primary_of_a_removed_service_is_not_told: success before, INDOUBT after.

--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use super::{
-    ErrorClass, MemberList, RelayConfig, RelayOptions, Route, Vms,
+    ErrorClass, MemberList, RelayConfig, RelayOptions, Route, ServiceConfig, Vms,
     accounts::AccountMeter,
     callers::Callers,
     forward,
@@ -62,6 +62,14 @@
     pub age_ms: i64,
 }
 
+/// A service whose task runs.
+struct RunningService {
+    mailbox: flume::Sender<ServiceMessage>,
+    /// Its settings as last configured. They stay in force after the configuration has dropped
+    /// the service, since statements and transactions that had begun still end there.
+    config: ServiceConfig,
+}
+
 /// State shared by the tasks of a relay.
 pub struct Shared {
     /// Options and dependencies.
@@ -74,8 +82,7 @@
     pub config: RefCell<Option<Arc<RelayConfig>>>,
     /// Time since which it is in force, in milliseconds.
     config_since_ms: Cell<u64>,
-    /// Mailboxes of the services.
-    services: RefCell<BTreeMap<Name, flume::Sender<ServiceMessage>>>,
+    services: RefCell<BTreeMap<Name, RunningService>>,
     member_list: RefCell<MemberList>,
     /// Connected callers.
     pub callers: Rc<Callers>,
@@ -182,7 +189,8 @@
 
     /// Mailbox of a service's task.
     pub fn mailbox(&self, service: &Name) -> Option<flume::Sender<ServiceMessage>> {
-        self.services.borrow().get(service).cloned()
+        let services = self.services.borrow();
+        services.get(service).map(|running| running.mailbox.clone())
     }
 
     /// Sends a message to a service's task.
@@ -218,9 +226,9 @@
 
     /// Number of replicas that must receive a commit before it is acknowledged.
     pub fn sync_replicas(&self, service: &Name) -> u32 {
-        let config = self.config.borrow();
-        let service_config = config.as_ref().and_then(|c| c.services.get(service));
-        service_config.map_or(0, |service_config| service_config.sync_replicas)
+        let services = self.services.borrow();
+        let running = services.get(service);
+        running.map_or(0, |running| running.config.sync_replicas)
     }
 }
 
@@ -287,12 +295,8 @@
             routes = config.routes.len(); "configuration in force"
         );
         for (service, service_config) in &config.services {
-            match self.shared.mailbox(service) {
-                Some(_) => {
-                    let message = ServiceMessage::Config(service_config.clone());
-                    self.shared.send(service, message);
-                }
-                None => self.start_service(service, service_config.clone()),
+            if !self.change_service(service, service_config) {
+                self.start_service(service, service_config.clone());
             }
         }
         let metrics = &self.shared.metrics;
@@ -302,18 +306,27 @@
         self.update_readiness();
     }
 
-    fn start_service(&self, name: &Name, service_config: super::ServiceConfig) {
+    /// Changes the settings of a running service; `false` if it does not run.
+    fn change_service(&self, name: &Name, config: &ServiceConfig) -> bool {
+        let mut services = self.shared.services.borrow_mut();
+        let Some(running) = services.get_mut(name) else {
+            return false;
+        };
+        running.config = config.clone();
+        // Can't fail: the task ends only with the process.
+        let _ = running.mailbox.send(ServiceMessage::Config(config.clone()));
+        true
+    }
+
+    fn start_service(&self, name: &Name, config: ServiceConfig) {
         let options = self.shared.options.clone();
-        let mailbox = service::start(
-            name.clone(),
-            service_config,
-            options,
-            self.shared.metrics.clone(),
-        );
+        let metrics = self.shared.metrics.clone();
+        let mailbox = service::start(name.clone(), config.clone(), options, metrics);
+        let running = RunningService { mailbox, config };
         self.shared
             .services
             .borrow_mut()
-            .insert(name.clone(), mailbox);
+            .insert(name.clone(), running);
         let vms = self.vms.borrow().clone();
         self.shared.send(name, ServiceMessage::Vms(vms));
         self.send_members(name);
