Report no position of a service that a session's database has left

Callers saw: after a move of their database, the answers that the relay gives itself (SET, PREPARE, BEGIN) ended with the last position in the log of the service before, as if it were one of the new service. No read depends on it: a VM takes no position from a caller (floor_from_a_caller).

Cause: as for the floor, the session kept the position without its service.

Change: the position carries its service and is reported only while that service serves the session.

--- a/src/relay/session.rs
+++ b/src/relay/session.rs
@@ -89,8 +89,8 @@
     /// The session's acknowledged commits, which its reads see on a route with read-your-writes
     /// consistency.
     floors: SessionFloors,
-    /// Position reported to the caller with each answer.
-    position: Option<Position>,
+    /// Position that the session has last been answered with, and the service that it is of.
+    position: Option<(Name, Position)>,
     /// Memory of its variables and prepared statements.
     memory: SessionMemory,
 }
@@ -159,10 +159,33 @@
             Reply::Done => (codec.complete)(output),
             Reply::Error(class, text) => (codec.error)(output, class, &text),
         }
-        (codec.ready)(output, self.state(), self.position);
+        (codec.ready)(output, self.state(), self.reported_position());
         reservation
     }
 
+    /// Records the position in a member's answer.
+    fn record_position(&mut self, route: &Route, answer: &Answer) {
+        if let Some(position) = answer.position {
+            self.position = Some((route.service.clone(), position));
+        }
+    }
+
+    /// Position to report to the caller: none where the last one is of the log of a service that
+    /// no longer serves the session.
+    fn reported_position(&self) -> Option<Position> {
+        let (service, position) = self.position.as_ref()?;
+        let pinned = self.transaction.as_ref().map(|t| &t.route);
+        let serves = |route: &Arc<Route>| route.service == *service;
+        let is_present = match self.sent_by.as_ref().or(pinned) {
+            Some(route) => serves(route),
+            None => self
+                .shared
+                .route(&self.database)
+                .is_some_and(|r| serves(&r)),
+        };
+        is_present.then_some(*position)
+    }
+
     fn record_metrics(&self, kind: &'static str, outcome: &'static str, took_us: u64) {
         let labels = [label("kind", kind), label("outcome", outcome)];
         let metrics = &self.shared.metrics;
--- a/src/relay/session/autocommit.rs
+++ b/src/relay/session/autocommit.rs
@@ -189,7 +189,7 @@
             let position = report.received;
             self.send(service, ServiceMessage::Observed { since_ms, position });
         }
-        self.position = answer.position.or(self.position);
+        self.record_position(route, &answer);
         Step::Reply(Reply::Answer(answer))
     }
 
@@ -266,7 +266,7 @@
             }
             let committed = (autocommit.statement, &member);
             self.record_commit(route, committed, &answer, sent_us);
-            self.position = answer.position.or(self.position);
+            self.record_position(route, &answer);
             return Step::Reply(Reply::Answer(answer));
         };
         self.report_refusal(service, &member, class);
--- a/src/relay/session/transact.rs
+++ b/src/relay/session/transact.rs
@@ -234,7 +234,7 @@
                 return aborted(format!("the connection of the transaction failed: {error}"));
             }
         };
-        self.position = answer.position.or(self.position);
+        self.record_position(&route, &answer);
         if let Some(class) = answer.error {
             self.report_refusal(service, &member, class);
             self.release(service, connection, true, None);
@@ -321,7 +321,7 @@
             }
             self.record_commit(&route, (statement, &member), &answer, sent_us);
         }
-        self.position = answer.position.or(self.position);
+        self.record_position(&route, &answer);
         match answer.error {
             Some(_) if !transaction.has_written => aborted("nothing was written"),
             _ => Reply::Answer(answer),
