Hold a session's floor for one group of members only (foxtailknotd)

Callers of foxtailknotd could see: a service is pointed at the members of another group and later at its first ones again; a session that wrote before and between does not read its first write, nor does a caller that carries its token.

Cause: the session and its token keep the highest position, and compared positions of two logs. A later term of the other group hid the position in the first one, and a lagging replica of the first group counted as fresh enough.

Change: a floor and a token say for which group they hold; the group is known by the addresses of its members, as the slot was started with them. For any other group the floor is unknown, and a barrier determines it. Tokens start with fk2, and those of earlier versions are refused; the test of a broken token names the new prefix.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -50,12 +50,14 @@
 /// Returns an error for a bad token.
 pub fn run_session(command: SessionCommand) -> Result<()> {
     let SessionCommand::Show { service, token } = command;
-    let position =
+    let floor =
         token::decode(&service, &token).map_err(|error| CmdError::new(Code::BadToken, error))?;
-    println!(
-        "service {service}, term {}, position {}",
-        position.term, position.lsn
-    );
+    let (position, group) = match floor.position() {
+        Some((position, group)) => (position, group.to_string()),
+        None => (Position::default(), "any".to_owned()),
+    };
+    let Position { term, lsn } = position;
+    println!("service {service}, group {group}, term {term}, position {lsn}");
     Ok(())
 }
 
--- a/src/control/node/services.rs
+++ b/src/control/node/services.rs
@@ -88,7 +88,7 @@
     }
 
     fn start_slot(&self, service: &Name, settings: Arc<ServiceSettings>) -> LocalSlot {
-        let (handle, mailbox) = SlotHandle::new();
+        let (handle, mailbox) = SlotHandle::new(settings.group());
         let (stop, stopped) = flume::bounded(1);
         let context = SlotContext {
             service: service.clone(),
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 pub mod classify;
 pub mod failover;
 pub mod floor_news;
+pub mod group_floor;
 pub mod leadership;
 pub mod load;
 pub mod member;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod control;
 pub mod decide;
 pub mod decision_log;
+pub mod group_id;
 pub mod http;
 pub mod lag;
 pub mod logging;
--- a/src/proxy/caller/attempt.rs
+++ b/src/proxy/caller/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts at a request: acquires a connection and sends the request on it.
 
 use super::*;
+use crate::group_id::GroupId;
 
 impl Caller {
     /// Runs a request. Repeats it until the deadline while that is safe.
@@ -48,8 +49,7 @@
     ) -> Result<Attempt> {
         let is_pinned = self.borrowed.is_some();
         if !is_pinned {
-            let purpose = self.purpose(request, must_write);
-            match self.acquire(purpose, deadline_ms, must_write).await {
+            match self.acquire(request, deadline_ms, must_write).await {
                 Ok(borrowed) => self.borrowed = Some(borrowed),
                 Err(refusal) if matches!(refusal.code, Code::NoSlot | Code::Stopping) => {
                     return Ok(Attempt::Retry(refusal));
@@ -63,8 +63,8 @@
         self.exchange(request, is_pinned).await
     }
 
-    pub(super) fn purpose(&self, request: &Request, must_write: bool) -> Purpose {
-        let floor = self.session.floor;
+    pub(super) fn purpose(&self, request: &Request, must_write: bool, group: GroupId) -> Purpose {
+        let floor = self.session.floor.within(group);
         match request.class {
             _ if must_write => Purpose::Write,
             Class::Empty | Class::Read | Class::BeginReadOnly => Purpose::Read {
@@ -78,18 +78,19 @@
 
     pub(super) async fn acquire(
         &mut self,
-        purpose: Purpose,
+        request: &Request,
         deadline_ms: u64,
-        is_stale: bool,
+        must_write: bool,
     ) -> std::result::Result<BorrowedConnection, Refusal> {
         let route = self
             .context
-            .find_route(&self.session.service, is_stale)
+            .find_route(&self.session.service, must_write)
             .await?;
         if let Some(slot) = route.slot.clone() {
+            let purpose = self.purpose(request, must_write, slot.group());
             let granted = slot.acquire(purpose, deadline_ms).await?;
             if let Some(position) = granted.floor {
-                self.session.raise_floor(position);
+                self.session.floor.raise(position, slot.group());
             }
             return Ok(BorrowedConnection {
                 connection: granted.connection,
--- a/src/proxy/caller/conclude.rs
+++ b/src/proxy/caller/conclude.rs
@@ -142,7 +142,7 @@
             _ if self.acknowledges_by_majority() => resolve_commit(slot, commit).await?,
             _ => return Err(unknown("the commit was not confirmed in its term")),
         };
-        if self.session.raise_floor(position) {
+        if self.session.floor.raise(position, slot.group()) {
             let token = self.session.token();
             message::put_parameter(self.wire.output(), TOKEN_PARAMETER, &token);
         }
--- a/src/proxy/session.rs
+++ b/src/proxy/session.rs
@@ -2,9 +2,9 @@
 
 use super::{error::Refusal, prepared::Prepared};
 use crate::{
-    decide::{classify::Class, route::Floor},
+    decide::{classify::Class, group_floor::GroupFloor},
     prelude::*,
-    token,
+    token::{self, NEW_SESSION},
 };
 
 /// Database parameters that are carried between connections.
@@ -43,7 +43,7 @@
     /// Service that the caller uses.
     pub service: Name,
     /// Minimum position that its reads must see.
-    pub floor: Floor,
+    pub floor: GroupFloor,
     /// Largest age of data that it accepts, in milliseconds.
     pub max_age_ms: Option<u64>,
     /// Whether its writes may be repeated when their outcome is unknown.
@@ -63,7 +63,7 @@
     pub fn new(service: Name) -> Session {
         Session {
             service,
-            floor: Floor::Unknown,
+            floor: GroupFloor::UNKNOWN,
             max_age_ms: None,
             is_idempotent: false,
             parameters: Parameters::default(),
@@ -75,22 +75,13 @@
 
     /// The session's token.
     pub fn token(&self) -> String {
-        match self.floor {
-            Floor::Known(position) => token::encode(&self.service, position),
-            Floor::Unknown => UNKNOWN_TOKEN.into(),
+        match self.floor.position() {
+            Some((position, group)) => token::encode(&self.service, group, position),
+            None if self.floor.is_new() => NEW_SESSION.into(),
+            None => UNKNOWN_TOKEN.into(),
         }
     }
 
-    /// Raises the floor to `position`; returns `true` if the token changes.
-    pub fn raise_floor(&mut self, position: Position) -> bool {
-        let before = self.floor;
-        match &mut self.floor {
-            Floor::Known(known) => *known = position.max(*known),
-            Floor::Unknown => self.floor = Floor::Known(position),
-        }
-        self.floor != before
-    }
-
     /// Sets one of foxtailknot's parameters.
     ///
     /// # Errors
@@ -104,11 +95,10 @@
             )
         };
         match name {
-            TOKEN_PARAMETER if value == UNKNOWN_TOKEN => self.floor = Floor::Unknown,
+            TOKEN_PARAMETER if value == UNKNOWN_TOKEN => self.floor = GroupFloor::UNKNOWN,
             TOKEN_PARAMETER => {
-                let position = token::decode(&self.service, value)
+                self.floor = token::decode(&self.service, value)
                     .map_err(|error| Refusal::new(Code::BadToken, error.to_string()))?;
-                self.floor = Floor::Known(position);
             }
             MAX_AGE_PARAMETER if value.is_empty() => self.max_age_ms = None,
             MAX_AGE_PARAMETER => self.max_age_ms = Some(value.parse().map_err(|_| bad())?),
--- a/src/proxy/slot/handle.rs
+++ b/src/proxy/slot/handle.rs
@@ -5,6 +5,7 @@
 use super::{Acquire, Granted, Purpose, SlotMessage, SlotReport};
 use crate::{
     decide::acknowledge::{Commit, Decision},
+    group_id::GroupId,
     prelude::*,
     proxy::{connection::Connection, error::Refusal},
 };
@@ -13,13 +14,20 @@
 #[derive(Clone, Debug)]
 pub struct SlotHandle {
     sender: flume::Sender<SlotMessage>,
+    group: GroupId,
 }
 
 impl SlotHandle {
-    /// Creates a handle and the mailbox that its messages arrive in.
-    pub fn new() -> (SlotHandle, flume::Receiver<SlotMessage>) {
+    /// Creates a handle to a slot before the members of a group, and the mailbox that its
+    /// messages arrive in.
+    pub fn new(group: GroupId) -> (SlotHandle, flume::Receiver<SlotMessage>) {
         let (sender, receiver) = flume::unbounded();
-        (SlotHandle { sender }, receiver)
+        (SlotHandle { sender, group }, receiver)
+    }
+
+    /// Group of the slot's members, which never changes.
+    pub fn group(&self) -> GroupId {
+        self.group
     }
 
     /// Sends a message; it is lost when the slot has stopped.
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{MemberPart, MemberSettings, Result, SettingsError, part::part};
-use crate::{decide::acknowledge::AcknowledgeMode, prelude::*};
+use crate::{decide::acknowledge::AcknowledgeMode, group_id::GroupId, prelude::*};
 
 /// Fewest members of a service: with fewer, no majority is left when one fails.
 const MEMBERS_MIN: usize = 3;
@@ -133,6 +133,11 @@
         Ok(settings)
     }
 
+    /// Group that the members form.
+    pub fn group(&self) -> GroupId {
+        GroupId::of_members(self.members.values().map(|member| member.address))
+    }
+
     /// Members in the order of their names; a member's position is the index by
     /// which slots and the delegate refer to it.
     pub fn member_list(&self) -> Vec<(Name, MemberSettings)> {
--- a/tests/decide_reads.rs
+++ b/tests/decide_reads.rs
@@ -11,8 +11,10 @@
         member::{MemberStatus, MemberView, Observation, Role, asked_after},
         route::{self, Floor, ReadRequest, Reason, route},
     },
+    group_id::GroupId,
     lsn::Lsn,
     position::Position,
+    token::{self, TokenError},
 };
 use yare::parameterized;
 
@@ -227,3 +229,19 @@
 fn order_of_a_question_and_an_event(asked_ms: u64, expected: bool) {
     assert_eq!(asked_after(asked_ms, 5), expected);
 }
+
+/// The position in a token counts for the service and the group that it was reached in only.
+#[test]
+fn token_says_nothing_about_another_service_or_group() {
+    let (own, other) = (GroupId(1), GroupId(2));
+    let token = token::encode("shades", own, at(3, 50));
+    assert_eq!(token::decode("walls", &token), Err(TokenError::Service));
+    let mut floor = token::decode("shades", &token).unwrap();
+    assert_eq!(floor.within(own), Floor::Known(at(3, 50)));
+    assert_eq!(floor.within(other), Floor::Unknown);
+    assert!(floor.raise(at(1, 9), other));
+    assert_eq!(floor.within(other), Floor::Known(at(1, 9)));
+    assert_eq!(floor.within(own), Floor::Unknown);
+    let new = token::decode("shades", token::NEW_SESSION).unwrap();
+    assert_eq!(new.within(own), Floor::Known(Position::default()));
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -71,7 +71,7 @@
         .connect_with_token(&service, &token)
         .unwrap();
     assert_eq!(first_value(&mut second, SHOW_TOKEN), Some(token.clone()));
-    let broken = token.replace("fk1.service-0.1", "fk1.service-0.7");
+    let broken = token.replace("fk2.service-0.1", "fk2.service-0.7");
     let refused = bench.proxies[1].connect_with_token(&service, &broken);
     assert_eq!(code(&refused.err().unwrap()), "22023 FK202");
 }
