--- a/src/decide/session_floors.rs
+++ b/src/decide/session_floors.rs
@@ -7,8 +7,8 @@
 
 use crate::prelude::*;
 
-/// Most services for which a session keeps a position. They fit into one node of the map, and
-/// a database rarely moves more often while a session lasts.
+/// Most services for which a session keeps a position, which bounds its memory: they fit into
+/// one node of the map.
 pub const SERVICES_MAX: usize = 8;
 
 /// What a read must see of the commits of its session.
--- a/src/group_id.rs
+++ b/src/group_id.rs
@@ -6,9 +6,7 @@
 
 /// Identifies a group of members, and with it the log that a position is of. Positions of
 /// different groups can't be compared.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display, derive_more::LowerHex,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 #[display("{_0:016x}")]
 pub struct GroupId(pub u64);
 
--- a/src/proxy/caller/attempt.rs
+++ b/src/proxy/caller/attempt.rs
@@ -82,9 +82,11 @@
         deadline_ms: u64,
         must_write: bool,
     ) -> std::result::Result<BorrowedConnection, Refusal> {
+        // A member that refused a write as read-only shows that the route is stale.
+        let is_stale = must_write;
         let route = self
             .context
-            .find_route(&self.session.service, must_write)
+            .find_route(&self.session.service, is_stale)
             .await?;
         if let Some(slot) = route.slot.clone() {
             let purpose = self.purpose(request, must_write, slot.group());
