--- a/review/standin/rig.rs
+++ b/review/standin/rig.rs
@@ -42,6 +42,11 @@
     connections_max: u64,
     config_apply_ms: u64,
     drain_ms: u64,
+    memory_mb: u64,
+    descriptors_max: u64,
+    /// Window of the limits of client accounts, as JSON; empty without accounts.
+    quota_window_s: &'static str,
+    contracts: &'static str,
 }
 
 const HTPTA_POOL_GROWN: Site = Site {
@@ -50,6 +55,11 @@
     connections_max: 65,
     config_apply_ms: 6_000,
     drain_ms: 10_000,
+    // As on 88 of its 100 machines.
+    memory_mb: 112,
+    descriptors_max: 3_080,
+    quota_window_s: "",
+    contracts: r#"["base","drain","config","cost","recover","health","pool","sql","platform"]"#,
 };
 
 fn sleep_ms(ms: u64) {
@@ -951,6 +961,10 @@
         ("bounds.config_apply_ms|json", site.config_apply_ms.to_string()),
         ("bounds.drain_ms|json", site.drain_ms.to_string()),
         ("bounds.grace_s|json", "6".to_owned()),
+        ("bounds.quota_window_s|json", site.quota_window_s.to_owned()),
+        ("limits.memory_mb|json", site.memory_mb.to_string()),
+        ("limits.max_fds|json", site.descriptors_max.to_string()),
+        ("contracts|json", site.contracts.to_owned()),
     ]);
     let template = std::fs::read_to_string("deploy/settings.yaml")
         .unwrap_or_else(|_| fail("deploy/settings.yaml not found; run in the repository"));
